--- /dev/null
+++ b/granitepoint/__main__.py
@@ -0,0 +1,69 @@
+"""One real proxy: reads the configuration, starts, and ends on SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from granitepoint.net.config import Config, ConfigError, load
+from granitepoint.net.driver import Driver
+from granitepoint.net.server import Server
+
+STILL_COMING = 0.45  # s after SIGTERM in which all is served as before, while the front takes notice
+LAST_ACCEPT = 0.6  # s after SIGTERM at which the listener and the idle connections close
+CLIENT_SHARE = 0.5  # of the descriptors, for callers' connections; the upstreams' bound is in the driver
+
+
+async def drain(server: Server, driver: Driver) -> None:
+    """Callers go on using a connection that stays open, and lose what is unanswered at the end: so each
+    answer closes its own, then the rest close, and the process ends when nothing is owed any more."""
+    await asyncio.sleep(STILL_COMING)
+    server.draining = True
+    server.close_idle()
+    await asyncio.sleep(LAST_ACCEPT - STILL_COMING)
+    server.stop_listening()
+    while driver.calls or server.connections:
+        server.close_idle(partial=True)
+        await asyncio.sleep(0.01)
+
+
+async def serve(config: Config) -> None:
+    loop = asyncio.get_running_loop()
+    term = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, term.set)
+    driver = Driver(config)
+    server = Server(driver.effects, driver, int(config.sockets * CLIENT_SHARE))
+    driver.start()
+    await server.listen(*config.listen)
+    # What is alive now stays alive: it need not be looked at again and again in pauses that calls wait for.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 50)
+    await term.wait()
+    await drain(server, driver)
+    driver.stop()
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
+    try:
+        config = load(os.environ)
+        asyncio.Runner(loop_factory=uvloop.new_event_loop).run(serve(config))
+    except ConfigError as fault:
+        print(f"granitepoint: {fault}", file=sys.stderr)
+        return 2
+    except OSError as fault:
+        print(f"granitepoint: {fault}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/granitepoint/net/config.py
@@ -0,0 +1,97 @@
+"""The configuration of one proxy: EDGE_* and the JSON file, read into one typed object."""
+
+from __future__ import annotations
+
+import json
+import resource
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from granitepoint.benchlink import read_settings
+from granitepoint.interface import Settings
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the message is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int  # file descriptors that the process may hold
+    known: Mapping[str, Any]  # the list of backends as last held, in discovery's form
+    settings: Settings
+
+
+def address(text: object) -> Address:
+    """`host:port` with a numeric host; there is no DNS."""
+    if not isinstance(text, str):
+        raise ValueError(f"not an address: {text!r}")
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 <= int(port) <= 65535:
+        raise ValueError(f"not an address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def flatten(value: object, path: str = "", into: dict[str, str] | None = None) -> dict[str, str]:
+    """The settings object as the simulator's flat path=value pairs, so that both have one reader."""
+    pairs = {} if into is None else into
+    if isinstance(value, dict):
+        for key, item in value.items():
+            flatten(item, f"{path}.{key}" if path else str(key), pairs)
+    elif isinstance(value, list) and any(isinstance(item, dict) for item in value):
+        pairs[path + ".count"] = str(len(value))
+        for number, item in enumerate(value):
+            flatten(item, f"{path}.{number}", pairs)
+    elif isinstance(value, list):
+        pairs[path] = ",".join(str(item) for item in value)
+        if not value:
+            pairs[path + ".count"] = "0"
+    elif isinstance(value, bool):
+        pairs[path] = "true" if value else "false"
+    elif value is not None:
+        pairs[path] = str(value)
+    return pairs
+
+
+def _seed(text: object) -> int:
+    return int(text, 16) if isinstance(text, str) else int(str(text))
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Reads the file that EDGE_CONFIG names; the other variables override what it says."""
+    try:
+        path = environ.get("EDGE_CONFIG")
+        if not path:
+            raise ValueError("EDGE_CONFIG is not set")
+        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+        if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
+            raise ValueError("the file holds no settings object")
+        known = raw.get("known") or {}
+        limits = raw.get("limits") or {}
+        if not isinstance(known, dict) or not isinstance(limits, dict):
+            raise ValueError("known and limits must be objects")
+        soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        if soft == resource.RLIM_INFINITY:
+            soft = 1 << 20
+        sockets = min(int(limits.get("sockets", soft)), soft)
+        if sockets < 64:
+            raise ValueError(f"too few sockets: {sockets}")
+        return Config(
+            name=environ.get("EDGE_NAME") or str(raw.get("name", "")),
+            listen=address(environ.get("EDGE_LISTEN") or raw.get("listen")),
+            discovery=address(environ.get("EDGE_DISCOVERY") or raw.get("discovery")),
+            seed=_seed(raw.get("seed", 0)),
+            sockets=sockets,
+            known=known,
+            settings=read_settings(flatten(raw["settings"])),
+        )
+    except (OSError, ValueError, TypeError, AttributeError) as fault:
+        raise ConfigError(" ".join(f"bad configuration: {fault}".split())) from None
--- /dev/null
+++ b/granitepoint/net/driver.py
@@ -0,0 +1,329 @@
+"""Drives the one Balancer: events in, actions out. The only place that knows the module and the sockets.
+
+It decides nothing: no retry, no pick, no queue. What it adds is the proxy's own word on each call: an answer
+before the caller's deadline, whatever the module does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import Any
+
+from granitepoint import interface as api
+from granitepoint.logic import Balancer
+from granitepoint.net.config import Config
+from granitepoint.net.discovery import Discovery, Listing, read_listing
+from granitepoint.net.server import Reply, Request
+from granitepoint.net.upstream import HOP_BY_HOP, Exchange, Upstreams
+
+log = logging.getLogger(__name__)
+
+LEAST_MARGIN = 0.02  # s before a caller's deadline at which its answer leaves at the latest
+MOST_MARGIN = 0.15  # s
+MODULE_MARGIN = 0.02  # s by which the module's deadline lies before the proxy's own
+LAG_FADE = 0.995  # of the measured loop lag that is kept at each timer
+MOST_PROBES = 32  # at once
+PROBE_TIMEOUT = 0.2  # s; a report that comes later is of no use
+DROPPED = HOP_BY_HOP | {b"x-load-report", b"x-rejected"}
+REPORT_FIELDS = {
+    "inflight": "busy_reqs", "queue": "pending", "util": "cpu_share",
+    "latency_ms": "svc_ms", "qps": "served_ps", "eps": "failed_ps",
+}  # fmt: skip
+
+
+def read_report(text: bytes) -> dict[str, float] | None:
+    """`inflight=7,queue=2` under the module's names; None where it holds nothing usable."""
+    report = {}
+    try:
+        for pair in text.decode("ascii").strip().split(","):
+            name, _, value = pair.partition("=")
+            name = REPORT_FIELDS.get(name.strip(), name.strip())
+            figure = float(value)
+            if figure - figure == 0.0:
+                report[name] = figure
+    except ValueError:
+        return None
+    return report or None
+
+
+class OpenCall:
+    """A taken request that is owed its answer."""
+
+    __slots__ = ("attempts", "deadline", "exchange", "number", "open", "ran", "reply", "request", "timer")
+
+    def __init__(self, number: int, request: Request, reply: Reply, deadline: float) -> None:
+        self.number, self.request, self.reply, self.deadline = number, request, reply, deadline
+        self.open = True
+        self.attempts = 0
+        self.ran = False  # some attempt may have run
+        self.exchange: Exchange | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Driver:
+    def __init__(self, config: Config) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.config, self.settings = config, config.settings
+        self.effects = {cls.name: cls.effect for cls in self.settings.classes}
+        self.balancer = Balancer(self.settings, config.seed)
+        self.upstreams = Upstreams(
+            self.settings.connect_timeout, self.settings.conn_idle, most_open=config.sockets * 2 // 5
+        )
+        self.calls: dict[int, OpenCall] = {}
+        self.out: dict[int, Exchange] = {}  # attempts, by call: also of calls whose caller has left
+        self.ids: set[bytes] = set()  # of the calls in the table, and of attempts still out
+        self.calls_taken = 0
+        self.probes = 0
+        self.events: list[api.Event] = []
+        self.flush_at: asyncio.Handle | None = None
+        self.flushed = 0.0
+        self.lag = 0.0  # s, how late this loop was lately
+        self.on_empty: Callable[[], None] | None = None
+        self.carriers: dict[type, Callable[[Any], None]] = {
+            api.Send: self._send,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.Cancel: self._cancel,
+            api.Probe: self._probe,
+            api.SetTimer: self._set_timer,
+            api.CloseIdle: self._close_idle,
+            api.Watch: lambda action: self.discovery.watch(action.on),
+            api.Fetch: lambda action: self.discovery.fetch(),
+            api.Log: lambda action: log.info("module: %s", action.text),
+            api.Tell: lambda action: None,  # there is no talk between proxies
+        }
+        known = read_listing(config.known) if config.known else Listing(0, True, [])
+        self.discovery = Discovery(config.discovery, known.version, self._on_list, self._on_list_failed)
+        self.upstreams.apply(known)
+        self.events.append(self._server_list(known, api.ListKind.SAVED))
+
+    def start(self) -> None:
+        self._flush()
+
+    def stop(self) -> None:
+        self.discovery.stop()
+
+    # events
+    def _push(self, event: api.Event) -> None:
+        """Events come to the module no more often than once a quantum."""
+        self.events.append(event)
+        if self.flush_at is None:
+            wait = self.flushed + self.settings.quantum - time.monotonic()
+            if wait > 0:
+                self.flush_at = self.loop.call_later(wait, self._flush)
+            else:
+                self.flush_at = self.loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self.flush_at = None
+        now = self.flushed = time.monotonic()
+        events, self.events = self.events, []
+        try:
+            actions = self.balancer.handle(now, events)
+        except Exception:
+            self._recover(events)
+            return
+        for action in actions:
+            try:
+                self.carriers[type(action)](action)
+            except Exception:
+                log.exception("an action failed: %s", action)
+                number = getattr(action, "call", None)
+                if number is not None:
+                    self._give_up(number)
+
+    def _recover(self, events: list[api.Event]) -> None:
+        """The module failed on a batch: its calls fail, its timers come again, the rest goes on."""
+        log.exception("the module failed on %d events", len(events))
+        for event in events:
+            if isinstance(event, api.Arrival | api.Outcome):
+                self._give_up(event.call)
+            elif isinstance(event, api.Timer):
+                self._set_timer(api.SetTimer(0.05, event.token))
+
+    def _give_up(self, number: int) -> None:
+        call = self.calls.get(number)
+        if call is not None:
+            self._close(call, 502, (), b"internal error\n")
+            self._push(api.Gone(number))
+
+    @staticmethod
+    def _server_list(listing: Listing, kind: api.ListKind) -> api.ServerList:
+        return api.ServerList(kind, [listed.entry for listed in listing.backends], listing.version)
+
+    def _on_list(self, listing: Listing) -> None:
+        self.upstreams.apply(listing)
+        kind = api.ListKind.FULL if listing.whole else api.ListKind.INCREMENTAL
+        self._push(self._server_list(listing, kind))
+
+    def _on_list_failed(self) -> None:
+        self._push(api.ServerList(api.ListKind.FAILED))
+
+    # the callers' side
+    def ready(self) -> bool:
+        return self.upstreams.ready
+
+    def opened(self, request: Request, reply: Reply) -> OpenCall | None:
+        if request.id in self.ids:
+            # An earlier one of this name is still out, and a second copy could run beside it.
+            reply.answer(409, (), b"this X-Call-Id is in use\n")
+            return None
+        if self.settings.most_held and len(self.calls) >= self.settings.most_held:
+            reply.answer(503, ((b"retry-after", b"1"),), b"too many calls\n")
+            return None
+        self.calls_taken += 1
+        number = self.calls_taken
+        # What the budget has lost before the request was read shows only as this loop's lag.
+        margin = min(MOST_MARGIN, LEAST_MARGIN + 2 * self.lag)
+        deadline = request.came + request.budget - margin
+        call = OpenCall(number, request, reply, deadline)
+        self.calls[number] = call
+        self.ids.add(request.id)
+        now = time.monotonic()
+        call.timer = self.loop.call_later(max(0.0, deadline - now), self._overdue, call)
+        self._push(
+            api.Arrival(
+                call=number,
+                cls=request.cls,
+                budget=deadline - MODULE_MARGIN - now,
+                tenant=request.tenant,
+                work=request.work,
+                resent=request.resent,
+                key=request.subject,
+            )
+        )
+        return call
+
+    def left(self, call: OpenCall) -> None:
+        if call.open:
+            self._settle(call)
+            self._push(api.Gone(call.number))
+
+    def _overdue(self, call: OpenCall) -> None:
+        """The module has said nothing in time: a failure, unless a refusal is provably harmless."""
+        if not call.open:
+            return
+        harmless = not call.ran and (call.exchange is None or not call.exchange.sent)
+        exchange = call.exchange
+        self._close(call, 503 if harmless else 504, (), b"out of time\n")
+        self._push(api.Gone(call.number))
+        if exchange is not None:
+            exchange.end(api.Status.TIMEOUT if exchange.sent else api.Status.MOOT)
+
+    def _close(self, call: OpenCall, code: int, headers: Any, body: bytes) -> None:
+        """The final answer. After it the call is gone from the table, so there is no second one."""
+        self._settle(call)
+        call.reply.answer(code, headers, body)
+
+    def _settle(self, call: OpenCall) -> None:
+        call.open = False
+        self.calls.pop(call.number, None)
+        if call.exchange is None:
+            self.ids.discard(call.request.id)
+        if call.timer is not None:
+            call.timer.cancel()
+        if not self.calls and self.on_empty is not None:
+            self.on_empty()
+
+    # actions
+    def _send(self, action: api.Send) -> None:
+        call = self.calls.get(action.call)
+        if call is None:
+            # It has ended since the batch was handed over; every send is owed an outcome.
+            self._push(api.Outcome(action.call, 0, action.server, api.Status.MOOT, 0.0, True))
+            return
+        number = call.attempts
+        call.attempts += 1
+        upstream = self.upstreams.by_id.get(action.server)
+        if upstream is None or not upstream.serving or call.exchange is not None:
+            if call.exchange is not None:
+                log.error("call %d: a second attempt while one is out", call.number)
+            self._push(api.Outcome(call.number, number, action.server, api.Status.MOOT, 0.0, False))
+            return
+        timeout = min(action.timeout, call.deadline - time.monotonic())
+        request = call.request
+        head = request.head + b"x-budget: %du\r\n\r\n" % max(1, int(timeout * 1e6))
+
+        def may_start() -> bool:
+            return call.open and upstream.serving
+
+        def done(exchange: Exchange) -> None:
+            self._attempt_ended(call, number, action.server, exchange)
+
+        exchange = Exchange(upstream, head + request.body, max(0.0, timeout), may_start, done)
+        call.exchange = self.out[call.number] = exchange
+        self.upstreams.start(exchange)
+
+    def _attempt_ended(self, call: OpenCall, number: int, server: int, exchange: Exchange) -> None:
+        status = exchange.status
+        assert status is not None
+        call.exchange = None
+        self.out.pop(call.number, None)
+        if status not in api.NEVER_RAN:
+            call.ran = True
+        if not call.open:
+            self.ids.discard(call.request.id)
+        elif status is api.Status.OK:
+            headers = [pair for pair in exchange.headers if pair[0] not in DROPPED]
+            self._close(call, 200, headers, exchange.body)
+        report = None
+        if self.settings.reports == "answer":
+            for name, value in exchange.headers:
+                if name == b"x-load-report":
+                    report = read_report(value)
+        self._push(
+            api.Outcome(call.number, number, server, status, exchange.elapsed, not call.open, report)
+        )
+
+    def _refuse(self, action: api.Refuse) -> None:
+        call = self.calls.get(action.call)
+        if call is not None:
+            advice = ((b"retry-after", b"%.3f" % action.retry_after),) if action.retry_after > 0 else ()
+            self._close(call, 503, advice, b"refused\n")
+
+    def _fail(self, action: api.Fail) -> None:
+        call = self.calls.get(action.call)
+        if call is not None:
+            self._close(call, 502, (), b"failed\n")
+
+    def _cancel(self, action: api.Cancel) -> None:
+        exchange = self.out.get(action.call)
+        if exchange is not None:
+            exchange.cancel()
+
+    def _probe(self, action: api.Probe) -> None:
+        upstream = self.upstreams.by_id.get(action.server)
+        if upstream is None or not upstream.serving or self.probes >= MOST_PROBES:
+            self._push(api.Probed(action.server, api.Status.MOOT, 0.0))
+            return
+        self.probes += 1
+        target = "/healthz" if self.settings.reports == "none" else "/load"
+        host, port = upstream.address
+        request = f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
+
+        def done(exchange: Exchange) -> None:
+            self.probes -= 1
+            status = exchange.status
+            assert status is not None
+            report = None
+            if status is api.Status.OK:
+                report = read_report(exchange.body)
+            self._push(api.Probed(action.server, status, exchange.elapsed, report))
+
+        self.upstreams.start(Exchange(upstream, request, PROBE_TIMEOUT, lambda: upstream.serving, done))
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        due = time.monotonic() + action.delay
+        self.loop.call_later(max(0.0, action.delay), self._timer, due, action.token)
+
+    def _timer(self, due: float, token: int) -> None:
+        self.lag = max(self.lag * LAG_FADE, time.monotonic() - due)
+        self._push(api.Timer(token))
+
+    def _close_idle(self, action: api.CloseIdle) -> None:
+        upstream = self.upstreams.by_id.get(action.server)
+        if upstream is not None:
+            upstream.close_idle()
--- /dev/null
+++ b/granitepoint/net/upstream.py
@@ -0,0 +1,337 @@
+"""The backends' side: their connections, and the exchanges (attempts and probes) that run on these."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import Any, cast
+
+import httptools
+
+from granitepoint.interface import ServerState, Status
+from granitepoint.net.config import Address
+from granitepoint.net.discovery import Listing
+
+log = logging.getLogger(__name__)
+
+MOST_BODY = 64 * 1024  # bytes of an answer
+MOST_HEAD = 32 * 1024  # bytes of an answer's headers
+IDLE_SHARE = 0.9  # of the settings' idle time after which this side closes first
+SWEEP = 1.0  # s between looks for idle connections
+HOP_BY_HOP = frozenset(
+    b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer "
+    b"transfer-encoding upgrade content-length".split()
+)
+
+
+class Exchange:
+    """One request to one backend, from the decision to send until its one end.
+
+    `may_start` is asked right before the first byte goes out, also after a slow connect: meanwhile the call
+    may have ended or the backend begun to drain. `done` is called once, with `status` set.
+    """
+
+    __slots__ = (
+        "body", "code", "connection", "done", "elapsed", "headers", "loop", "may_start", "request", "sent",
+        "started_at", "status", "timer", "upstream",
+    )
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        request: bytes,
+        timeout: float,
+        may_start: Callable[[], bool],
+        done: Callable[[Exchange], None],
+    ) -> None:
+        self.upstream, self.request = upstream, request
+        self.may_start, self.done = may_start, done
+        self.loop = upstream.owner.loop
+        self.started_at = time.monotonic()
+        self.status: Status | None = None
+        self.elapsed = 0.0
+        self.sent = False
+        self.connection: Connection | None = None
+        self.code = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body = b""
+        self.timer = self.loop.call_later(timeout, self._out_of_time)
+
+    def end(self, status: Status) -> None:
+        """Any end but a whole answer gives up the connection, so that a late answer reaches nobody."""
+        if self.status is not None:
+            return
+        self.status = status
+        self.elapsed = time.monotonic() - self.started_at
+        self.timer.cancel()
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.abandon()
+        self.done(self)
+
+    def cancel(self) -> None:
+        self.end(Status.CANCELLED if self.sent else Status.MOOT)
+
+    def _out_of_time(self) -> None:
+        self.end(Status.TIMEOUT if self.sent else Status.MOOT)
+
+    def run_on(self, connection: Connection) -> None:
+        """Writes the request, unless it has ended or must not start any more."""
+        if self.status is not None or not self.may_start():
+            connection.upstream.keep(connection)
+            self.end(Status.MOOT)
+            return
+        self.connection = connection
+        self.sent = True
+        connection.begin(self)
+
+    def answered(self, code: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        self.connection = None
+        self.code, self.headers, self.body = code, headers, body
+        if code == 200:
+            self.end(Status.OK)
+        elif code in (503, 504) and any(name == b"x-rejected" and value == b"1" for name, value in headers):
+            self.end(Status.FULL)
+        else:
+            self.end(Status.ERROR)
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a backend; carries one exchange at a time."""
+
+    __slots__ = (
+        "body", "exchange", "headers", "idle_since", "parser", "size", "spoilt", "transport", "upstream",
+    )
+
+    def __init__(self, upstream: Upstream) -> None:
+        self.upstream = upstream
+        self.transport: asyncio.Transport | None = None
+        self.exchange: Exchange | None = None
+        self.parser: Any = httptools.HttpResponseParser(self)
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body: list[bytes] = []
+        self.size = 0
+        self.spoilt = False
+        self.idle_since = 0.0
+
+    # transport callbacks
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's own class
+        self.upstream.owner.made += 1
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.upstream.lost(self)
+        if self.exchange is not None:
+            # The whole request may have left this process, so the backend may have run it: never a resend.
+            exchange, self.exchange = self.exchange, None
+            exchange.end(Status.RESET)
+
+    def data_received(self, data: bytes) -> None:
+        if self.exchange is None:
+            self.abandon()  # nothing was asked: an answer to nobody
+            return
+        try:
+            self.parser.feed_data(data)
+        except Exception as fault:  # garbage; it may still have run
+            log.info("backend %s: malformed answer: %s", self.upstream.address, fault)
+            self.spoilt = True
+        if self.spoilt:
+            self._break()
+
+    # parser callbacks
+    def on_message_begin(self) -> None:
+        if self.exchange is None:
+            self.spoilt = True  # more than one answer to one request
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.size += len(name) + len(value)
+        if self.size > MOST_HEAD:
+            raise ValueError("headers too large")
+        self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        self.size = 0
+
+    def on_body(self, chunk: bytes) -> None:
+        self.size += len(chunk)
+        if self.size > MOST_BODY:
+            raise ValueError("body too large")
+        self.body.append(chunk)
+
+    def on_message_complete(self) -> None:
+        code = self.parser.get_status_code()
+        headers, self.headers = self.headers, []
+        body, self.body = b"".join(self.body), []
+        self.size = 0
+        if 100 <= code < 200 and code != 101:
+            return  # an interim answer
+        exchange, self.exchange = self.exchange, None
+        if exchange is None:
+            return
+        if self.parser.should_keep_alive() and code != 101:
+            self.upstream.keep(self)
+        else:
+            self.abandon()
+        exchange.answered(code, headers, body)
+
+    def begin(self, exchange: Exchange) -> None:
+        assert self.transport is not None
+        self.exchange = exchange
+        self.transport.write(exchange.request)
+
+    def abandon(self) -> None:
+        self.exchange = None
+        self.upstream.forget(self)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _break(self) -> None:
+        exchange = self.exchange
+        self.abandon()
+        if exchange is not None:
+            exchange.connection = None
+            exchange.end(Status.RESET)
+
+
+class Upstream:
+    """One backend as discovery last listed it, with its connections."""
+
+    __slots__ = ("address", "connections", "idle", "owner", "started_at", "state")
+
+    def __init__(self, owner: Upstreams, address: Address, started_at: float, state: ServerState) -> None:
+        self.owner, self.address, self.started_at, self.state = owner, address, started_at, state
+        self.connections: set[Connection] = set()
+        self.idle: list[Connection] = []
+
+    @property
+    def serving(self) -> bool:
+        return self.state is ServerState.SERVING
+
+    def take_idle(self) -> Connection | None:
+        """The connection used last: the others grow old and are closed."""
+        oldest = time.monotonic() - self.owner.idle_for
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.transport is not None and not connection.transport.is_closing():
+                if connection.idle_since > oldest:
+                    return connection
+                connection.abandon()
+        return None
+
+    def keep(self, connection: Connection) -> None:
+        if connection not in self.connections or not self.serving:
+            connection.abandon()
+            return
+        connection.idle_since = time.monotonic()
+        self.idle.append(connection)
+
+    def forget(self, connection: Connection) -> None:
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def lost(self, connection: Connection) -> None:
+        self.forget(connection)
+        self.connections.discard(connection)
+        self.owner.made -= 1
+
+    def close_idle(self, unused_since: float = float("inf")) -> None:
+        for connection in [c for c in self.idle if c.idle_since <= unused_since]:
+            connection.abandon()
+
+    def renew(self) -> None:
+        """The process behind the address is another one: no connection may be inherited."""
+        self.close_idle()
+        self.connections.clear()  # those in use end with their exchange, in keep()
+
+
+class Upstreams:
+    """All backends, and the bound on connections to them."""
+
+    def __init__(self, connect_timeout: float, conn_idle: float, most_open: int) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.connect_timeout = connect_timeout
+        self.idle_for = IDLE_SHARE * conn_idle
+        self.most_open = most_open
+        self.made = 0  # connections that are up
+        self.by_id: dict[int, Upstream] = {}
+        self._connects: set[asyncio.Task[None]] = set()
+        self.loop.call_later(SWEEP, self._sweep)
+
+    @property
+    def open(self) -> int:
+        """Descriptors in use or soon to be."""
+        return self.made + len(self._connects)
+
+    @property
+    def ready(self) -> bool:
+        return any(upstream.serving for upstream in self.by_id.values())
+
+    def apply(self, listing: Listing) -> None:
+        named = set()
+        for listed in listing.backends:
+            entry = listed.entry
+            named.add(entry.server)
+            upstream = self.by_id.get(entry.server)
+            if upstream is None:
+                self.by_id[entry.server] = Upstream(self, listed.address, entry.started_at, entry.state)
+                continue
+            if upstream.address != listed.address or entry.started_at > upstream.started_at:
+                upstream.renew()
+            upstream.address, upstream.started_at = listed.address, entry.started_at
+            upstream.state = entry.state
+        for server, upstream in list(self.by_id.items()):
+            if listing.whole and server not in named:
+                upstream.state = ServerState.GONE
+            if not upstream.serving:
+                upstream.close_idle()
+            if upstream.state is ServerState.GONE:
+                del self.by_id[server]  # what is out on it ends by itself
+
+    def start(self, exchange: Exchange) -> None:
+        upstream = exchange.upstream
+        connection = upstream.take_idle()
+        if connection is not None:
+            exchange.run_on(connection)
+        elif self.open >= self.most_open and not self._spare_one():
+            exchange.end(Status.CONNECT_FAILED)
+        else:
+            task = self.loop.create_task(self._connect(exchange, upstream))
+            self._connects.add(task)
+            task.add_done_callback(self._connects.discard)
+
+    async def _connect(self, exchange: Exchange, upstream: Upstream) -> None:
+        connection = Connection(upstream)
+        at, since = upstream.address, upstream.started_at
+        try:
+            async with asyncio.timeout(self.connect_timeout):
+                await self.loop.create_connection(lambda: connection, *at)
+            if (at, since) != (upstream.address, upstream.started_at):
+                raise ConnectionError("the backend is another one by now")
+            if connection.transport is None:
+                raise ConnectionError("lost as soon as made")
+            upstream.connections.add(connection)
+            exchange.run_on(connection)
+        except (OSError, TimeoutError):
+            connection.abandon()
+            exchange.end(Status.CONNECT_FAILED)
+        except Exception:
+            log.exception("backend %s: an attempt failed", at)
+            connection.abandon()
+            exchange.end(Status.RESET)
+
+    def _spare_one(self) -> bool:
+        """At the bound, the connection that is idle the longest makes room."""
+        idle = [c for upstream in self.by_id.values() for c in upstream.idle[:1]]
+        if not idle:
+            return False
+        min(idle, key=lambda c: c.idle_since).abandon()
+        return True
+
+    def _sweep(self) -> None:
+        oldest = time.monotonic() - self.idle_for
+        for upstream in self.by_id.values():
+            upstream.close_idle(oldest)
+        self.loop.call_later(SWEEP, self._sweep)
