--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -91,6 +91,7 @@
 OPEN_DEAR = 1.5  # mean latencies that a new connection adds, above which a doubtful old one is used
 OPEN_LEAST = 0.3  # mean latencies by which a server with an open connection is preferred at least
 OPEN_MEMORY = 30  # sends over which new and open connections are compared
+ADVICE = 0.25  # procQ that a refused client is told to stay away
 TICK_TOKEN, ASK_TOKEN = 1, 2
 MOST_LATENCIES = 8.0  # mean latencies that a failed attempt counts as at most
 
@@ -740,8 +741,15 @@
         call.queued = True
         insort(self.queue, call)
 
+    def advice(self) -> float:
+        """When a refused client should come back: by then the calls that fill W now have been answered. A
+        client that is told nothing comes back sooner, into the same crowd."""
+        if not self.settings.may_advise_wait:
+            return 0.0
+        return min(self.settings.max_wait_advice, max(STEP, ADVICE * self.admission.proc))
+
     def refuse(self, call: Call) -> None:
-        self.gate.answer(call)
+        self.gate.answer(call, self.advice())
 
     def on_gone(self, event: Gone) -> None:
         call = self.gate.calls.get(event.call)
@@ -799,7 +807,7 @@
             self.retry_tokens -= 1
             self.hold(call)
         else:
-            self.gate.answer(call)
+            self.refuse(call)
 
     def learn(self, attempt: Attempt, status: int, elapsed: float, busy: int) -> None:
         """What an outcome says of procQ, W and the server."""
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,357 @@
+"""The program itself, over loopback sockets: what ends an attempt, the rules, bad input, limits, SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+from netkit import (
+    PATIENCE,
+    Backend,
+    Discovery,
+    Seen,
+    config,
+    endpoint,
+    listing,
+    proxy,
+    response,
+    serve_ok,
+    start_program,
+)
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(4 * PATIENCE):
+            await test
+
+    asyncio.run(bounded())
+
+
+async def next_call(backend: Backend) -> Seen:
+    async with asyncio.timeout(PATIENCE):
+        return await backend.calls.get()
+
+
+def test_a_call_goes_on_unchanged_and_its_answer_comes_back() -> None:
+    async def test() -> None:
+        body = bytes(range(256)) * 256  # 64 KiB
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(response(200, seen.body[::-1], X_Load_Report="inflight=1", X_Note="yes"))
+
+        backend = Backend(behave)
+        async with proxy({"s-1": backend}) as node:
+            caller = await node.caller()
+            more = {"Cookie": "sid=7f", "X_Caller": "acme"}
+            reply = await caller.call("reserva", "9b1f03aa5c7e2d41", body=body, **more)
+            seen = await next_call(backend)
+        assert (reply.code, reply.body) == (200, body[::-1])
+        assert reply.headers["x-note"] == "yes" and "x-load-report" not in reply.headers
+        assert (seen.method, seen.target, seen.body) == ("POST", "/reserva?q=1", body)
+        assert seen.headers["x-call-id"] == "9b1f03aa5c7e2d41"
+        assert seen.headers["idempotency-key"] == "k9b1f03aa5c7e2d41"
+        assert seen.headers["cookie"] == "sid=7f" and seen.headers["x-caller"] == "acme"
+        assert seen.headers["x-budget"].endswith("u") and int(seen.headers["x-budget"][:-1]) < 1_000_000
+
+    run(test())
+
+
+def test_connections_are_kept_and_the_last_used_is_used_again() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with proxy({"s-1": backend}) as node:
+            caller = await node.caller()
+            for number in range(5):
+                assert (await caller.call("canje", f"{number:016x}")).code == 200
+            numbers = {(await next_call(backend)).connection for _ in range(5)}
+        assert len(numbers) == 1
+
+    run(test())
+
+
+async def rejected(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.write(response(503, X_Rejected="1"))
+
+
+async def error(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.write(response(503, b"no mark, so it may have run"))
+
+
+async def reset(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+
+
+async def cut_short(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+    await writer.drain()
+    writer.close()
+
+
+async def garbage(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"\x00\x01 this is not HTTP\r\n\r\n")
+
+
+async def twice(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n" * 2)
+
+
+async def silent(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    return
+
+
+@pytest.mark.parametrize("behave", [error, reset, cut_short, garbage, twice, silent])
+def test_an_unsafe_call_that_may_have_run_fails_after_one_attempt(behave: Any) -> None:
+    """Guards rule 2: any end but a marked rejection may have run, so neither a resend nor a refusal."""
+
+    async def test() -> None:
+        backends = {"s-1": Backend(behave), "s-2": Backend(behave)}
+        async with proxy(backends) as node:
+            reply = await (await node.caller()).call("canje", "a" * 16, budget="700m")
+        assert reply.code in (502, 504)
+        assert "retry-after" not in reply.headers
+        assert sum(backend.count for backend in backends.values()) == 1
+
+    run(test())
+
+
+def test_a_marked_rejection_never_ran_and_is_tried_elsewhere() -> None:
+    async def test() -> None:
+        backends = {"s-1": Backend(rejected), "s-2": Backend()}
+        async with proxy(backends) as node:
+            caller = await node.caller()
+            replies = [(await caller.call("canje", f"{n:016x}")).code for n in range(4)]
+        assert replies == [200] * 4
+
+    run(test())
+
+
+def test_no_backend_up_is_a_refusal_at_once_that_says_when_to_come_back() -> None:
+    """The connection failed before a byte was written, so a refusal is harmless; it is not held back."""
+
+    async def test() -> None:
+        gone = await Backend().start()
+        await gone.stop()
+        async with proxy({"s-1": gone}) as node:
+            begun = asyncio.get_running_loop().time()
+            reply = await (await node.caller()).call("canje", "b" * 16, budget="5000m")
+            took = asyncio.get_running_loop().time() - begun
+        assert reply.code == 503
+        assert 0 < float(reply.headers["retry-after"]) <= 2.0
+        assert took < 3.0
+
+    run(test())
+
+
+def test_a_late_answer_reaches_nobody() -> None:
+    """A timed out attempt gives up its connection: its answer must not become that of the next call."""
+
+    async def test() -> None:
+        held: list[asyncio.StreamWriter] = []
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            if seen.headers["x-call-id"] == "c" * 16:
+                held.append(writer)
+            else:
+                await serve_ok(seen, writer)
+
+        backend = Backend(behave)
+        async with proxy({"s-1": backend}) as node:
+            caller = await node.caller()
+            first = await caller.call("canje", "c" * 16, budget="400m")
+            assert first.code in (502, 504)
+            held[0].write(response(200, b"late"))
+            second = await caller.call("canje", "d" * 16)
+            assert (second.code, second.body) == (200, b"done " + b"d" * 16)
+
+    run(test())
+
+
+def test_a_draining_backend_gets_nothing_new_and_a_readdressed_one_no_old_connection() -> None:
+    async def test() -> None:
+        discovery = await Discovery().start()
+        one, two, moved = Backend(), await Backend().start(), await Backend().start()
+        async with proxy({"s-1": one}, discovery) as node:
+            caller = await node.caller()
+            assert (await caller.call("canje", "0" * 16)).code == 200
+            discovery.put(2, endpoint("s-1", one.address, "Terminating"), endpoint("s-2", two.address))
+            async with asyncio.timeout(PATIENCE):
+                await one.closed.get()  # told: its idle connections close
+            for number in range(1, 5):
+                assert (await caller.call("canje", f"{number:016x}")).code == 200
+            assert (one.count, two.count) == (1, 4)
+            discovery.put(3, endpoint("s-2", moved.address))
+            async with asyncio.timeout(PATIENCE):
+                await two.closed.get()
+            assert (await caller.call("canje", f"{9:016x}")).code == 200
+            assert (two.count, moved.count) == (4, 1)
+        await moved.stop()
+
+    run(test())
+
+
+def test_watches_follow_one_another_and_garbage_keeps_the_last_list() -> None:
+    async def test() -> None:
+        discovery = await Discovery().start()
+        backend = Backend()
+        async with proxy({"s-1": backend}, discovery) as node:
+            async with asyncio.timeout(PATIENCE):
+                assert (await discovery.asked.get()).startswith("/v1/servers?from=1&hold_ms=")
+                discovery.put(7)
+                assert (await discovery.asked.get()).startswith("/v1/servers?from=7&hold_ms=")
+                discovery.changes.put_nowait(response(200, b'{"index": 9, "endpoints": [{"name": 3}]}'))
+                assert (await discovery.asked.get()).startswith("/v1/servers?from=7&hold_ms=")
+            assert (await (await node.caller()).call("stock", "1" * 16)).code == 200
+
+    run(test())
+
+
+HEAD = b" HTTP/1.1\r\nHost: x\r\nX-Call-Id: 0011223344556677\r\n"
+
+
+@pytest.mark.parametrize(
+    ("code", "data"),
+    [
+        (400, b"nonsense\r\n\r\n"),
+        (400, b"GET /stock HTTP/1.1\r\nHost: x\r\nX-Budget: 500m\r\n\r\n"),
+        (400, b"GET /stock" + HEAD + b"\r\n"),
+        (400, b"GET /stock" + HEAD + b"X-Budget: soon\r\n\r\n"),
+        (400, b"GET /stock" + HEAD + b"X-Call-Id: 2\r\nX-Budget: 500m\r\n\r\n"),
+        (400, b"POST /stock" + HEAD + b"X-Budget: 500m\r\nContent-Length: 0\r\n\r\n"),
+        (400, b"GET /canje" + HEAD + b"X-Budget: 500m\r\n\r\n"),
+        (400, b"POST /reserva" + HEAD + b"X-Budget: 500m\r\nContent-Length: 0\r\n\r\n"),
+        (400, b"POST /canje" + HEAD + b"X-Budget: 500m\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n"),
+        (400, b"GET /stock" + HEAD + b"X-Budget: 500m\r\nX-Long: " + b"a" * 40_000 + b"\r\n\r\n"),
+        (404, b"GET /other" + HEAD + b"X-Budget: 500m\r\n\r\n"),
+        (404, b"GET /load" + HEAD + b"X-Budget: 500m\r\n\r\n"),
+        (413, b"POST /canje" + HEAD + b"X-Budget: 500m\r\nContent-Length: 65537\r\n\r\n"),
+        (413, b"POST /canje" + HEAD + b"X-Budget: 500m\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n"
+         + b"a" * 0x10001 + b"\r\n0\r\n\r\n"),
+    ],
+)  # fmt: skip
+def test_bad_input_reaches_nobody_and_harms_no_other(code: int, data: bytes) -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with proxy({"s-1": backend}) as node:
+            bad, good = await node.caller(), await node.caller()
+            assert (await bad.raw(data)).code == code
+            assert backend.count == 0
+            assert (await good.call("stock", "2" * 16)).code == 200
+
+    run(test())
+
+
+def test_requests_that_come_at_once_are_answered_in_turn() -> None:
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}) as node:
+            caller = await node.caller()
+            for number in range(40):
+                caller.send("stock", f"{number:016x}")
+            bodies = [(await caller.answer()).body for _ in range(40)]
+        assert bodies == [b"done " + f"{n:016x}".encode() for n in range(40)]
+
+    run(test())
+
+
+def test_an_id_that_is_still_out_gets_no_second_copy() -> None:
+    """Guards one attempt out at a time against a caller that sends the same request on two connections."""
+
+    async def test() -> None:
+        backend = Backend(silent)
+        async with proxy({"s-1": backend}) as node:
+            first, second = await node.caller(), await node.caller()
+            first.send("canje", "e" * 16, budget="600m")
+            await next_call(backend)
+            assert (await second.call("canje", "e" * 16)).code == 409
+            assert (await first.answer()).code in (502, 504)
+        assert backend.count == 1
+
+    run(test())
+
+
+def test_a_caller_that_leaves_takes_its_attempt_with_it() -> None:
+    async def test() -> None:
+        backend = Backend(silent)
+        async with proxy({"s-1": backend}) as node:
+            caller = await node.caller()
+            caller.send("canje", "f" * 16, budget="5000m")
+            await next_call(backend)
+            caller.writer.close()
+            async with asyncio.timeout(PATIENCE):
+                await backend.closed.get()
+
+    run(test())
+
+
+def test_sigterm_serves_on_for_a_while_finishes_what_is_held_and_exits_0() -> None:
+    async def test() -> None:
+        free = asyncio.Event()
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            if seen.headers["x-call-id"] == "a" * 16:
+                await free.wait()
+            await serve_ok(seen, writer)
+
+        backend = Backend(behave)
+        async with proxy({"s-1": backend}) as node:
+            held, idle = await node.caller(), await node.caller()
+            assert (await idle.call("stock", "1" * 16)).code == 200
+            held.send("canje", "a" * 16, budget="6000m")
+            await next_call(backend)
+            await next_call(backend)
+            node.terminate()
+            late = await node.caller()  # connections still come
+            assert (await late.call("stock", "2" * 16)).code == 200
+            assert await idle.ended()  # the kept ones end, unhurried
+            assert node.process.returncode is None
+            free.set()
+            reply = await held.answer()
+            assert (reply.code, reply.headers["connection"]) == (200, "close")
+            assert await node.code() == 0
+
+    run(test())
+
+
+def test_at_the_limit_of_descriptors_it_sheds_and_goes_on() -> None:
+    """Guards against EMFILE: beyond the bound a caller gets a refusal, and upstreams keep their share."""
+
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}, sockets=64) as node:
+            callers = [await node.caller() for _ in range(40)]
+            replies = [await caller.call("stock", f"{n:016x}") for n, caller in enumerate(callers)]
+            codes = [reply.code for reply in replies]
+            assert set(codes) == {200, 503}
+            assert all(float(r.headers["retry-after"]) > 0 for r in replies if r.code == 503)
+            for caller in callers:
+                caller.writer.close()
+            for caller in callers:
+                await caller.ended()
+            assert (await (await node.caller()).call("stock", "9" * 16)).code == 200
+
+    run(test())
+
+
+@pytest.mark.parametrize("spoil", ["no file", "not json", "no settings", "bad setting", "bad address"])
+def test_a_bad_configuration_is_one_line_and_exit_2(spoil: str) -> None:
+    async def test() -> None:
+        raw: Any = config("127.0.0.1:1", listing(1), "127.0.0.1:0")
+        if spoil == "not json":
+            raw = "{"
+        elif spoil == "no settings":
+            del raw["settings"]
+        elif spoil == "bad setting":
+            raw["settings"]["contract"]["cold_from"] = 7
+        elif spoil == "bad address":
+            raw["listen"] = "nowhere"
+        elif spoil == "no file":
+            raw = ""
+        with tempfile.TemporaryDirectory() as folder:
+            process = await start_program(raw, folder)
+            _, told = await process.communicate()
+        assert process.returncode == 2
+        assert len(told.decode().strip().splitlines()) == 1
+
+    run(test())
