Answers that arrive, room for new callers, no faith in silent backends

Seen, by probes over loopback: an 8 MB body got a reset instead of its 413 (the connection was closed on unread bytes); 32 idle kept connections of 64 descriptors shut every new caller out with 503s; after a backend fell silent its other idle connections stayed, each to cost one more call. Each mend has a test that failed before it (server.py data_received and answer, Server.add, Exchange._out_of_time). Also: the end after SIGTERM no longer waits for a peer that never takes its last answer.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -17,6 +17,8 @@
 
 STILL_COMING = 0.45  # s after SIGTERM in which all is served as before, while the front takes notice
 LAST_ACCEPT = 0.6  # s after SIGTERM at which the listener and the idle connections close
+DRAIN_STEP = 0.01  # s between looks whether all is answered
+LAST_BYTES = 1.0  # s for the last answers to be taken
 CLIENT_SHARE = 0.5  # of the descriptors, for callers' connections; the upstreams' bound is in the driver
 
 
@@ -28,9 +30,16 @@
     server.close_idle()
     await asyncio.sleep(LAST_ACCEPT - STILL_COMING)
     server.stop_listening()
-    while driver.calls or server.connections:
+    while driver.calls:
         server.close_idle(partial=True)
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(DRAIN_STEP)
+    # All is answered; the last bytes may still be on their way to a slow peer.
+    server.close_idle(partial=True)
+    for _ in range(int(LAST_BYTES / DRAIN_STEP)):
+        if not server.connections:
+            return
+        await asyncio.sleep(DRAIN_STEP)
+    server.abort()
 
 
 async def serve(config: Config) -> None:
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -22,6 +22,8 @@
 MOST_HEAD = 32 * 1024  # bytes of its target and headers
 MOST_WAITING = 16  # pipelined requests that one connection may have waiting
 IDLE = 120.0  # s after which a connection that asks nothing, or stops midway, is closed
+LINGER = 1.0  # s for which what still comes after a last answer to bad input is read and dropped
+SPARE_AGE = 0.5  # s without a request after which a connection may make room for another
 SWEEP = 5.0  # s between looks for those
 BUDGET = re.compile(rb"(\d{1,15}(?:\.\d{1,9})?)([mu])")
 REPLACED = HOP_BY_HOP | {b"x-budget", b"expect", b"x-load-report"}
@@ -156,7 +158,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own class
         self.changed_at = time.monotonic()
-        self.server.connections.add(self)
+        self.server.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -193,9 +195,7 @@
             cause = fault if isinstance(fault, BadRequest) else fault.__context__
             bad = cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed HTTP")
             self.waiting.append((bad, False))
-            if self.transport is not None:
-                self.transport.pause_reading()
-            self.closing = True  # nothing more can be read from it
+            self.closing = True  # what still comes is read, so that the answer arrives, and dropped
         self._next()
 
     # parser callbacks
@@ -290,7 +290,13 @@
         parts.append(body)
         transport.write(b"".join(parts))
         self.changed_at = time.monotonic()
-        if last:
+        if last and self.closing:
+            # The peer may still be sending. Closing on unread bytes resets the connection, which can take
+            # the answer with it: first only this side ends.
+            self.waiting.clear()
+            transport.write_eof()
+            self.server.loop.call_later(LINGER, transport.abort)
+        elif last:
             self.closing = True
             self.waiting.clear()
             transport.close()
@@ -320,6 +326,16 @@
     def crowded(self) -> bool:
         return len(self.connections) > self.most_open
 
+    def add(self, connection: ClientConnection) -> None:
+        """Beyond the bound, the connection that asked nothing the longest makes room: a caller may find one
+        closed between requests. Where all are busy, crowded() has the newest request refused."""
+        self.connections.add(connection)
+        if self.crowded():
+            oldest = min(self.connections, key=lambda c: c.changed_at if c.idle else float("inf"))
+            if oldest.idle and oldest.changed_at < time.monotonic() - SPARE_AGE:
+                oldest.close()
+                self.connections.discard(oldest)
+
     async def listen(self, host: str, port: int) -> int:
         self.listener = await self.loop.create_server(
             lambda: ClientConnection(self), host, port, backlog=1024
@@ -334,9 +350,17 @@
     def close_idle(self, unused_since: float = float("inf"), partial: bool = False) -> None:
         for connection in list(self.connections):
             unused = connection.idle or (partial and not connection.answering)
-            if unused and connection.changed_at <= unused_since:
+            if unused and not connection.closing and connection.changed_at <= unused_since:
                 connection.close()
 
+    def abort(self, unused_since: float = float("inf")) -> None:
+        """Ends what a close does not: peers that never take their last answer."""
+        for connection in list(self.connections):
+            if connection.closing and connection.transport and connection.changed_at <= unused_since:
+                connection.transport.abort()
+
     def _sweep(self) -> None:
-        self.close_idle(time.monotonic() - IDLE, partial=True)
+        oldest = time.monotonic() - IDLE
+        self.close_idle(oldest, partial=True)
+        self.abort(oldest)
         self.loop.call_later(SWEEP, self._sweep)
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -75,6 +75,10 @@
         self.end(Status.CANCELLED if self.sent else Status.MOOT)
 
     def _out_of_time(self) -> None:
+        if self.sent and self.upstream.heard_at < self.started_at:
+            # The backend said nothing to anyone meanwhile. A machine that vanished leaves its connections
+            # open and silent; when it is back, each would cost one more call or probe to find out.
+            self.upstream.close_idle(self.started_at)
         self.end(Status.TIMEOUT if self.sent else Status.MOOT)
 
     def run_on(self, connection: Connection) -> None:
@@ -130,6 +134,7 @@
             exchange.end(Status.RESET)
 
     def data_received(self, data: bytes) -> None:
+        self.upstream.heard_at = time.monotonic()
         if self.exchange is None:
             self.abandon()  # nothing was asked: an answer to nobody
             return
@@ -199,11 +204,12 @@
 class Upstream:
     """One backend as discovery last listed it, with its connections."""
 
-    __slots__ = ("address", "connections", "idle", "owner", "started_at", "state")
+    __slots__ = ("address", "connections", "heard_at", "idle", "owner", "started_at", "state")
 
     def __init__(self, owner: Upstreams, address: Address, started_at: float, state: ServerState) -> None:
         self.owner, self.address, self.started_at, self.state = owner, address, started_at, state
         self.connections: set[Connection] = set()
+        self.heard_at = 0.0  # when it last sent anything
         self.idle: list[Connection] = []
 
     @property
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -10,6 +10,7 @@
 import pytest
 from netkit import (
     PATIENCE,
+    SETTINGS,
     Backend,
     Discovery,
     Seen,
@@ -315,21 +316,92 @@
     run(test())
 
 
+def test_a_backend_that_fell_silent_loses_its_idle_connections() -> None:
+    """A machine that vanished leaves open, silent connections; each would cost a call to find out."""
+
+    async def test() -> None:
+        together = asyncio.Event()
+        mute = asyncio.Event()
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            if mute.is_set():
+                return
+            await together.wait()
+            await serve_ok(seen, writer)
+
+        backend = Backend(behave)
+        limits = {**SETTINGS["policy_limits"], "probes": False, "send_cap": 1}
+        async with proxy({"s-1": backend}, policy_limits=limits) as node:
+            callers = [await node.caller() for _ in range(3)]
+            for number, caller in enumerate(callers):
+                caller.send("canje", f"{number:016x}", budget="5000m")
+            used = {(await next_call(backend)).connection for _ in callers}
+            together.set()
+            assert [(await caller.answer()).code for caller in callers] == [200] * 3
+            mute.set()
+            assert (await callers[0].call("stock", "8" * 16, budget="900m")).code == 503
+            async with asyncio.timeout(PATIENCE):
+                closed = {await backend.closed.get() for _ in used}
+        assert len(used) == 3 and closed == used
+
+    run(test())
+
+
+def test_the_answer_to_bad_input_arrives_though_more_is_on_its_way() -> None:
+    """Closing on unread bytes resets the connection, and a reset can overtake the answer."""
+
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}) as node:
+            for _ in range(5):
+                caller = await node.caller()
+                length = 8 << 20
+                head = b"POST /canje" + HEAD + b"X-Budget: 500m\r\nContent-Length: %d\r\n\r\n"
+                caller.writer.write(head % length)
+                caller.writer.write(bytes(length))
+                await caller.writer.drain()
+                assert (await caller.answer()).code == 413
+                caller.writer.close()
+
+    run(test())
+
+
 def test_at_the_limit_of_descriptors_it_sheds_and_goes_on() -> None:
     """Guards against EMFILE: beyond the bound a caller gets a refusal, and upstreams keep their share."""
 
+    async def test() -> None:
+        free = asyncio.Event()
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await free.wait()
+            await serve_ok(seen, writer)
+
+        async with proxy({"s-1": Backend(behave)}, sockets=64) as node:
+            callers = [await node.caller() for _ in range(32)]
+            for number, caller in enumerate(callers):
+                caller.send("canje", f"{number:016x}", budget="9000m")
+            for number in range(100, 150):
+                reply = await (await node.caller()).call("stock", f"{number:016x}")
+                assert reply.code == 503 and float(reply.headers["retry-after"]) > 0
+            free.set()
+            assert all([(await caller.answer()).code in (200, 503) for caller in callers])
+            assert (await callers[0].call("stock", "9" * 16)).code == 200
+
+    run(test())
+
+
+def test_an_idle_connection_makes_room_for_a_new_caller() -> None:
+    """Kept connections that ask nothing must not shut others out."""
+
     async def test() -> None:
         async with proxy({"s-1": Backend()}, sockets=64) as node:
-            callers = [await node.caller() for _ in range(40)]
-            replies = [await caller.call("stock", f"{n:016x}") for n, caller in enumerate(callers)]
-            codes = [reply.code for reply in replies]
-            assert set(codes) == {200, 503}
-            assert all(float(r.headers["retry-after"]) > 0 for r in replies if r.code == 503)
-            for caller in callers:
-                caller.writer.close()
-            for caller in callers:
-                await caller.ended()
-            assert (await (await node.caller()).call("stock", "9" * 16)).code == 200
+            idle = [await node.caller() for _ in range(32)]
+            for number, caller in enumerate(idle):
+                assert (await caller.call("stock", f"{number:016x}")).code == 200
+            for number in range(100, 10_000):
+                caller = await node.caller()
+                if (await caller.call("stock", f"{number:016x}")).code == 200:
+                    break
+            assert await idle[0].ended()
 
     run(test())
 
