Look at the sockets before a late time-out; blame no backend for the proxy's own bounds

Seen, by probes over loopback: a proxy that stood still for 0.7 s threw away an answer that had come in 0.1 s, since timers run before sockets after a stall (Exchange._out_of_time, Driver._overdue); a malformed 'known' ended in a traceback and exit 1 instead of one line and exit 2. Read in the code: an exception of the driver's inside a parser callback was taken for a malformed answer and only logged as that; pipelined bodies could add up to 1 MiB a connection; the bound on connections reported CONNECT_FAILED, for which the module ejects a backend.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -196,7 +196,7 @@
                 raise ValueError(f"status {code}")
             listing = read_listing(json.loads(body))
         except (OSError, TimeoutError, ValueError) as fault:
-            log.info("discovery: %s", fault or type(fault).__name__)
+            log.warning("discovery: %s", fault or type(fault).__name__)
             self.on_failed()
             return False
         self.version = listing.version
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -14,10 +14,10 @@
 
 from granitepoint import interface as api
 from granitepoint.logic import Balancer
-from granitepoint.net.config import Config
+from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import Discovery, Listing, read_listing
 from granitepoint.net.server import Reply, Request
-from granitepoint.net.upstream import HOP_BY_HOP, Exchange, Upstreams
+from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, Exchange, Upstreams
 
 log = logging.getLogger(__name__)
 
@@ -95,7 +95,10 @@
             api.Log: lambda action: log.info("module: %s", action.text),
             api.Tell: lambda action: None,  # there is no talk between proxies
         }
-        known = read_listing(config.known) if config.known else Listing(0, True, [])
+        try:
+            known = read_listing(config.known) if config.known else Listing(0, True, [])
+        except ValueError as fault:
+            raise ConfigError(f"bad configuration: known: {fault}") from None
         self.discovery = Discovery(config.discovery, known.version, self._on_list, self._on_list_failed)
         self.upstreams.apply(known)
         self.events.append(self._server_list(known, api.ListKind.SAVED))
@@ -202,10 +205,14 @@
             self._settle(call)
             self._push(api.Gone(call.number))
 
-    def _overdue(self, call: OpenCall) -> None:
+    def _overdue(self, call: OpenCall, late: bool = False) -> None:
         """The module has said nothing in time: a failure, unless a refusal is provably harmless."""
         if not call.open:
             return
+        if not late and time.monotonic() > call.deadline + LATE:
+            # This process stood still, and timers come before sockets: the answer may have come meanwhile.
+            call.timer = self.loop.call_later(ONE_TURN, self._overdue, call, True)
+            return
         harmless = not call.ran and (call.exchange is None or not call.exchange.sent)
         exchange = call.exchange
         self._close(call, 503 if harmless else 504, (), b"out of time\n")
@@ -297,7 +304,7 @@
     def _probe(self, action: api.Probe) -> None:
         upstream = self.upstreams.by_id.get(action.server)
         if upstream is None or not upstream.serving or self.probes >= MOST_PROBES:
-            self._push(api.Probed(action.server, api.Status.MOOT, 0.0))
+            self._push(api.Probed(action.server, api.Status.FULL, 0.0))  # not the backend's fault
             return
         self.probes += 1
         target = "/healthz" if self.settings.reports == "none" else "/load"
@@ -308,9 +315,9 @@
             self.probes -= 1
             status = exchange.status
             assert status is not None
-            report = None
-            if status is api.Status.OK:
-                report = read_report(exchange.body)
+            report = read_report(exchange.body) if status is api.Status.OK else None
+            if status is api.Status.MOOT:
+                status = api.Status.FULL  # not asked, so nothing is known against it
             self._push(api.Probed(action.server, status, exchange.elapsed, report))
 
         self.upstreams.start(Exchange(upstream, request, PROBE_TIMEOUT, lambda: upstream.serving, done))
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -20,7 +20,6 @@
 
 MOST_BODY = 64 * 1024  # bytes of a request
 MOST_HEAD = 32 * 1024  # bytes of its target and headers
-MOST_WAITING = 16  # pipelined requests that one connection may have waiting
 IDLE = 120.0  # s after which a connection that asks nothing, or stops midway, is closed
 LINGER = 1.0  # s for which what still comes after a last answer to bad input is read and dropped
 SPARE_AGE = 0.5  # s without a request after which a connection may make room for another
@@ -153,6 +152,7 @@
         self.closing = False
         self.changed_at = 0.0
         self.full = False  # the peer does not read
+        self.paused = False
 
     # transport callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -180,10 +180,12 @@
     def _flow(self) -> None:
         """Nothing more is read from a peer that reads nothing or that is ahead of its answers."""
         if self.transport is not None and not self.closing:
-            if self.full or len(self.waiting) >= MOST_WAITING:
+            pause = self.full or bool(self.waiting)  # so it holds one read's worth of bodies at most
+            if pause and not self.paused:
                 self.transport.pause_reading()
-            else:
+            elif self.paused and not pause:
                 self.transport.resume_reading()
+            self.paused = pause
 
     def data_received(self, data: bytes) -> None:
         if self.closing:
@@ -251,7 +253,6 @@
                 request = bad
         self.headers, self.body = [], []
         self.waiting.append((request, keep_alive))
-        self._flow()
 
     # answers
     def _next(self) -> None:
@@ -268,7 +269,12 @@
                 self.keep_alive = False
                 self.answer(503, ((b"retry-after", b"1"),), b"too many connections\n")
             else:
-                call = self.server.handler.opened(request, self)
+                try:
+                    call = self.server.handler.opened(request, self)
+                except Exception:
+                    log.exception("a request could not be taken")
+                    self.answer(500, NO_HEADERS, b"internal error\n")
+                    continue
                 if self.answering:
                     self.call = call
         self._flow()
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Callable
 from typing import Any, cast
@@ -19,6 +20,8 @@
 MOST_BODY = 64 * 1024  # bytes of an answer
 MOST_HEAD = 32 * 1024  # bytes of an answer's headers
 IDLE_SHARE = 0.9  # of the settings' idle time after which this side closes first
+LATE = 0.01  # s of delay of a timer after which the sockets are looked at first
+ONE_TURN = 0.001  # s; the loop reads its sockets before such a timer
 SWEEP = 1.0  # s between looks for idle connections
 HOP_BY_HOP = frozenset(
     b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer "
@@ -34,8 +37,8 @@
     """
 
     __slots__ = (
-        "body", "code", "connection", "done", "elapsed", "headers", "loop", "may_start", "request", "sent",
-        "started_at", "status", "timer", "upstream",
+        "body", "code", "connection", "done", "due", "elapsed", "headers", "loop", "may_start", "request",
+        "sent", "started_at", "status", "timer", "upstream",
     )
 
     def __init__(
@@ -57,6 +60,7 @@
         self.code = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = b""
+        self.due = self.started_at + timeout
         self.timer = self.loop.call_later(timeout, self._out_of_time)
 
     def end(self, status: Status) -> None:
@@ -69,12 +73,20 @@
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.abandon()
-        self.done(self)
+        try:
+            self.done(self)
+        except Exception:  # one call's fault must not end the callbacks of a connection
+            log.exception("the end of an exchange failed")
 
     def cancel(self) -> None:
         self.end(Status.CANCELLED if self.sent else Status.MOOT)
 
     def _out_of_time(self) -> None:
+        if time.monotonic() > self.due + LATE:
+            # This process stood still, and timers come before sockets: the answer may have come long ago.
+            self.due = math.inf
+            self.timer = self.loop.call_later(ONE_TURN, self._out_of_time)
+            return
         if self.sent and self.upstream.heard_at < self.started_at:
             # The backend said nothing to anyone meanwhile. A machine that vanished leaves its connections
             # open and silent; when it is back, each would cost one more call or probe to find out.
@@ -106,7 +118,8 @@
     """One connection to a backend; carries one exchange at a time."""
 
     __slots__ = (
-        "body", "exchange", "headers", "idle_since", "parser", "size", "spoilt", "transport", "upstream",
+        "answer", "body", "exchange", "headers", "idle_since", "parser", "size", "spoilt", "transport",
+        "upstream",
     )
 
     def __init__(self, upstream: Upstream) -> None:
@@ -117,6 +130,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
         self.size = 0
+        self.answer: tuple[Exchange, int, bytes, bool] | None = None  # whole, not handed on yet
         self.spoilt = False
         self.idle_since = 0.0
 
@@ -141,15 +155,24 @@
         try:
             self.parser.feed_data(data)
         except Exception as fault:  # garbage; it may still have run
-            log.info("backend %s: malformed answer: %s", self.upstream.address, fault)
+            log.warning("backend %s: malformed answer: %s", self.upstream.address, fault)
             self.spoilt = True
-        if self.spoilt:
+        if self.answer is not None:
+            (exchange, code, body, keep), self.answer = self.answer, None
+            headers, self.headers = self.headers, []
+            if keep and not self.spoilt:
+                self.exchange = None
+                self.upstream.keep(self)
+            else:
+                self.abandon()
+            exchange.answered(code, headers, body)
+        elif self.spoilt:
             self._break()
 
     # parser callbacks
     def on_message_begin(self) -> None:
-        if self.exchange is None:
-            self.spoilt = True  # more than one answer to one request
+        if self.answer is not None:
+            raise ValueError("more than one answer to one request")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.size += len(name) + len(value)
@@ -168,19 +191,13 @@
 
     def on_message_complete(self) -> None:
         code = self.parser.get_status_code()
-        headers, self.headers = self.headers, []
         body, self.body = b"".join(self.body), []
         self.size = 0
         if 100 <= code < 200 and code != 101:
-            return  # an interim answer
-        exchange, self.exchange = self.exchange, None
-        if exchange is None:
-            return
-        if self.parser.should_keep_alive() and code != 101:
-            self.upstream.keep(self)
-        else:
-            self.abandon()
-        exchange.answered(code, headers, body)
+            self.headers = []  # an interim answer
+        elif self.exchange is not None:
+            keep = code != 101 and self.parser.should_keep_alive()  # known only here
+            self.answer = self.exchange, code, body, keep
 
     def begin(self, exchange: Exchange) -> None:
         assert self.transport is not None
@@ -302,7 +319,7 @@
         if connection is not None:
             exchange.run_on(connection)
         elif self.open >= self.most_open and not self._spare_one():
-            exchange.end(Status.CONNECT_FAILED)
+            exchange.end(Status.MOOT)  # this proxy's own bound: no fault of the backend's
         else:
             task = self.loop.create_task(self._connect(exchange, upstream))
             self._connects.add(task)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import tempfile
 from collections.abc import Coroutine
 from typing import Any
@@ -406,7 +407,34 @@
     run(test())
 
 
-@pytest.mark.parametrize("spoil", ["no file", "not json", "no settings", "bad setting", "bad address"])
+def test_an_answer_that_came_while_the_process_stood_still_is_served() -> None:
+    """After a stall timers run before sockets are read: a time-out must not throw away what has come."""
+
+    async def test() -> None:
+        answered = asyncio.Event()
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            node.process.send_signal(signal.SIGSTOP)
+            await serve_ok(seen, writer)
+            await writer.drain()
+            answered.set()
+
+        backend = Backend(behave)
+        async with proxy({"s-1": backend}) as node:
+            caller = await node.caller()
+            caller.send("stock", "5" * 16, budget="1200m")  # an attempt has 500 ms, the aim
+            async with asyncio.timeout(PATIENCE):
+                await answered.wait()
+            await asyncio.sleep(0.7)  # the stall itself
+            node.process.send_signal(signal.SIGCONT)
+            assert (await caller.answer()).code == 200
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "spoil", ["no file", "not json", "no settings", "bad setting", "bad address", "bad known"]
+)
 def test_a_bad_configuration_is_one_line_and_exit_2(spoil: str) -> None:
     async def test() -> None:
         raw: Any = config("127.0.0.1:1", listing(1), "127.0.0.1:0")
@@ -418,6 +446,8 @@
             raw["settings"]["contract"]["cold_from"] = 7
         elif spoil == "bad address":
             raw["listen"] = "nowhere"
+        elif spoil == "bad known":
+            raw["known"] = {"index": 1, "snapshot": True, "endpoints": [{"name": "s-1"}]}
         elif spoil == "no file":
             raw = ""
         with tempfile.TemporaryDirectory() as folder:
