--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -131,6 +131,57 @@
     run(test())
 
 
+def test_a_keyed_call_that_may_have_run_is_resent_only_within_its_zone() -> None:
+    """Guards rule 2 for keyed calls: only the backends of one zone drop each other's repeats."""
+
+    async def test() -> None:
+        async def once(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            if broken:
+                await serve_ok(seen, writer)
+            else:
+                broken.append(seen)
+                writer.transport.abort()
+
+        broken: list[Seen] = []
+        near, far = [Backend(once), Backend(once)], [Backend(once), Backend(once)]
+        discovery = await Discovery().start()
+        for backend in (*near, *far):
+            await backend.start()
+        discovery.put(
+            2,
+            *(endpoint(f"s-{n}", backend.address) for n, backend in enumerate(near)),
+            *(endpoint(f"s-{n}", backend.address, zone="b") for n, backend in enumerate(far, 2)),
+        )
+        async with proxy({"s-0": near[0]}, discovery) as node:
+            async with asyncio.timeout(PATIENCE):
+                await discovery.asked.get()
+                await discovery.asked.get()  # the list is taken
+            reply = await (await node.caller()).call("reserva", "7" * 16, budget="3500m")
+            assert reply.code == 200
+        counts = [sum(backend.count for backend in zone) for zone in (near, far)]
+        assert sorted(counts) == [0, 2]
+        for backend in (*near, *far):
+            await backend.stop()
+
+    run(test())
+
+
+def test_discovery_that_is_down_is_asked_again_and_the_list_is_kept() -> None:
+    async def test() -> None:
+        discovery = await Discovery().start()
+        backend = Backend()
+        async with proxy({"s-1": backend}, discovery) as node:
+            async with asyncio.timeout(PATIENCE):
+                await discovery.asked.get()
+                discovery.changes.put_nowait(response(503))
+                await discovery.asked.get()
+                discovery.changes.put_nowait(b"no HTTP at all")
+                await discovery.asked.get()
+            assert (await (await node.caller()).call("stock", "1" * 16)).code == 200
+
+    run(test())
+
+
 def test_no_backend_up_is_a_refusal_at_once_that_says_when_to_come_back() -> None:
     """The connection failed before a byte was written, so a refusal is harmless; it is not held back."""
 
