--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -1,4 +1,4 @@
-"""One real proxy: reads the configuration, starts, and ends on SIGTERM."""
+"""One real proxy: reads the configuration, starts, rereads it on SIGHUP, and ends on SIGTERM."""
 
 from __future__ import annotations
 
@@ -11,10 +11,12 @@
 
 import uvloop
 
-from granitepoint.net.config import Config, ConfigError, load
+from granitepoint.net.config import Config, ConfigError, load, reread_discovery
 from granitepoint.net.driver import Driver
 from granitepoint.net.server import Server
 
+log = logging.getLogger("granitepoint")
+
 STILL_COMING = 0.45  # s after SIGTERM in which all is served as before, while the front takes notice
 LAST_ACCEPT = 0.6  # s after SIGTERM at which the listener and the idle connections close
 DRAIN_STEP = 0.01  # s between looks whether all is answered
@@ -42,6 +44,18 @@
     server.abort()
 
 
+def reload(driver: Driver) -> None:
+    """On SIGHUP: the discovery address is what may change while the proxy runs. A file that can't be used
+    changes nothing."""
+    try:
+        at = reread_discovery(os.environ)
+    except ConfigError as fault:
+        log.error("reload: %s; all stays as it was", fault)
+        return
+    log.info("reload: discovery is at %s:%d", *at)
+    driver.discovery.move(at)
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     term = asyncio.Event()
@@ -49,6 +63,7 @@
         loop.add_signal_handler(number, term.set)
     driver = Driver(config)
     server = Server(driver.effects, driver, int(config.sockets * CLIENT_SHARE))
+    loop.add_signal_handler(signal.SIGHUP, reload, driver)  # before it is ready, and for good
     driver.start()
     await server.listen(*config.listen)
     # What is alive now stays alive: it need not be looked at again and again in pauses that calls wait for.
@@ -61,6 +76,7 @@
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes while it starts finds the new file read
     logging.basicConfig(stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
     try:
         config = load(os.environ)
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -65,15 +65,24 @@
     return int(text, 16) if isinstance(text, str) else int(str(text))
 
 
+def _read_file(environ: Mapping[str, str]) -> dict[str, Any]:
+    path = environ.get("EDGE_CONFIG")
+    if not path:
+        raise ValueError("EDGE_CONFIG is not set")
+    raw = json.loads(Path(path).read_text(encoding="utf-8"))
+    if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
+        raise ValueError("the file holds no settings object")
+    return raw
+
+
+def _error(fault: Exception) -> ConfigError:
+    return ConfigError(" ".join(f"bad configuration: {fault}".split()))
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """Reads the file that EDGE_CONFIG names; the other variables override what it says."""
     try:
-        path = environ.get("EDGE_CONFIG")
-        if not path:
-            raise ValueError("EDGE_CONFIG is not set")
-        raw = json.loads(Path(path).read_text(encoding="utf-8"))
-        if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
-            raise ValueError("the file holds no settings object")
+        raw = _read_file(environ)
         known = raw.get("known") or {}
         limits = raw.get("limits") or {}
         if not isinstance(known, dict) or not isinstance(limits, dict):
@@ -93,5 +102,14 @@
             known=known,
             settings=read_settings(flatten(raw["settings"])),
         )
-    except (OSError, ValueError, TypeError, AttributeError) as fault:
-        raise ConfigError(" ".join(f"bad configuration: {fault}".split())) from None
+    except (OSError, ValueError, TypeError, AttributeError, RecursionError) as fault:
+        raise _error(fault) from None
+
+
+def reread_discovery(environ: Mapping[str, str]) -> Address:
+    """The address of discovery as the file has it now. EDGE_DISCOVERY does not override it: a process keeps
+    the variables it was started with, so a reload could never change anything."""
+    try:
+        return address(_read_file(environ).get("discovery"))
+    except (OSError, ValueError, RecursionError) as fault:
+        raise _error(fault) from None
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -23,6 +23,8 @@
 CONNECT_TIMEOUT = 1.0  # s
 LEAST_SPACING = 0.05  # s between two watches, should discovery answer each at once
 LARGEST = 8 << 20  # bytes of an answer
+MOVE_SPACING = 0.2  # s between tries for the first list of a new address
+MOVE_TRIES = 15  # such tries, before the module is told that the call failed
 
 STATES = {"Ready": ServerState.SERVING, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
 # Wall less monotonic time, taken once: the same since_ms must give the same figure in every list, or a step
@@ -147,7 +149,8 @@
     def __init__(
         self, at: Address, version: int, on_list: Callable[[Listing], None], on_failed: Callable[[], None]
     ) -> None:
-        self.at, self.version = at, version
+        self.at = at
+        self.version: int | None = version  # None: nothing is known of this server's versions yet
         self.on_list, self.on_failed = on_list, on_failed
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
@@ -159,6 +162,13 @@
         if on:
             self._watch = asyncio.get_running_loop().create_task(self._watching())
 
+    def move(self, at: Address) -> None:
+        """Another server from now on. What the old one may still say is not heard, and its versions tell
+        nothing of the new one's: the whole list comes first, at once, and changes from there."""
+        self.stop()
+        self.at, self.version = at, None
+        self.watch(True)
+
     def fetch(self) -> None:
         task = asyncio.get_running_loop().create_task(self._fetching())
         self._fetches.add(task)
@@ -173,6 +183,13 @@
         channel = _Channel()
         loop = asyncio.get_running_loop()
         try:
+            tries = 0
+            while self.version is None:
+                tries += 1
+                if not await self._ask(channel, "/v1/servers", PATIENCE, tell=tries >= MOVE_TRIES):
+                    if tries >= MOVE_TRIES:
+                        return
+                    await asyncio.sleep(MOVE_SPACING)
             while True:
                 begun = loop.time()
                 target = f"/v1/servers?from={self.version}&hold_ms={HOLD_MS}"
@@ -189,16 +206,18 @@
         finally:
             channel.close()
 
-    async def _ask(self, channel: _Channel, target: str, timeout: float) -> bool:
+    async def _ask(self, channel: _Channel, target: str, timeout: float, tell: bool = True) -> bool:
+        """Whatever goes wrong ends this call only: a watch that ended untold would never be renewed."""
         try:
             code, body = await channel.get(self.at, target, timeout)
             if code != 200:
                 raise ValueError(f"status {code}")
             listing = read_listing(json.loads(body))
-        except (OSError, TimeoutError, ValueError) as fault:
-            log.warning("discovery: %s", fault or type(fault).__name__)
-            self.on_failed()
+            self.on_list(listing)
+        except Exception as fault:
+            log.warning("discovery %s:%d: %s", *self.at, str(fault)[:200] or type(fault).__name__)
+            if tell:
+                self.on_failed()
             return False
         self.version = listing.version
-        self.on_list(listing)
         return True
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -9,7 +9,7 @@
 import signal
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -192,12 +192,24 @@
 class Proxy:
     """The program itself, as a process."""
 
-    def __init__(self, process: asyncio.subprocess.Process, address: tuple[str, int]) -> None:
-        self.process, self.address = process, address
+    def __init__(
+        self, process: asyncio.subprocess.Process, address: tuple[str, int], path: Path, first: dict[str, Any]
+    ) -> None:
+        self.process, self.address, self.path, self.first = process, address, path, first
 
     async def caller(self) -> Caller:
         return Caller(*await asyncio.open_connection(*self.address))
 
+    def reload(self, **changes: Any) -> None:
+        """Replaces the file (with `text`, or with these keys changed), then sends SIGHUP."""
+        text = changes.pop("text", None)
+        if text is None:
+            text = json.dumps({**self.first, **changes})
+        new = self.path.with_suffix(".new")
+        new.write_text(text, encoding="utf-8")
+        new.replace(self.path)
+        self.process.send_signal(signal.SIGHUP)
+
     def terminate(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
@@ -225,6 +237,8 @@
     path.write_text(raw if isinstance(raw, str) else json.dumps(raw), encoding="utf-8")
     environ = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
     environ["EDGE_CONFIG"] = str(path)
+    if isinstance(raw, dict):
+        environ["EDGE_DISCOVERY"] = raw["discovery"]
     return await asyncio.create_subprocess_exec(
         sys.executable, "-m", "granitepoint", cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE
     )
@@ -255,10 +269,11 @@
     listen = free_address()
     host, _, port = listen.rpartition(":")
     with tempfile.TemporaryDirectory() as folder:
-        process = await start_program(config(own.address, known, listen, **changes), folder)
+        raw = config(own.address, known, listen, **changes)
+        process = await start_program(raw, folder)
         try:
             await until_ready((host, int(port)))
-            yield Proxy(process, (host, int(port)))
+            yield Proxy(process, (host, int(port)), Path(folder) / "config.json", raw)
         finally:
             if process.returncode is None:
                 process.kill()
@@ -267,3 +282,16 @@
                 await backend.stop()
             if own.server is not None:
                 own.server.close()
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(4 * PATIENCE):
+            await test
+
+    asyncio.run(bounded())
+
+
+async def next_call(backend: Backend) -> Seen:
+    async with asyncio.timeout(PATIENCE):
+        return await backend.calls.get()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -5,7 +5,6 @@
 import asyncio
 import signal
 import tempfile
-from collections.abc import Coroutine
 from typing import Any
 
 import pytest
@@ -18,26 +17,15 @@
     config,
     endpoint,
     listing,
+    next_call,
     proxy,
     response,
+    run,
     serve_ok,
     start_program,
 )
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(4 * PATIENCE):
-            await test
-
-    asyncio.run(bounded())
-
-
-async def next_call(backend: Backend) -> Seen:
-    async with asyncio.timeout(PATIENCE):
-        return await backend.calls.get()
-
-
 def test_a_call_goes_on_unchanged_and_its_answer_comes_back() -> None:
     async def test() -> None:
         body = bytes(range(256)) * 256  # 64 KiB
