--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -87,16 +87,20 @@
         self.answer: asyncio.Future[tuple[int, bytes]] | None = None
         self.parser: Any = None
         self.body = bytearray()
+        self.raw = 0  # bytes of the answer as they came
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own class
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = None
+        self.transport = self.parser = None
         self._fail(ConnectionError("discovery closed the connection"))
 
     def data_received(self, data: bytes) -> None:
+        self.raw += len(data)
         try:
+            if self.answer is None or self.answer.done() or self.raw > LARGEST:
+                raise ValueError("more than was asked for")
             self.parser.feed_data(data)
         except Exception as fault:  # whatever it is, the stream can't be followed any further
             self._fail(ValueError(f"malformed answer: {fault}"))
@@ -132,6 +136,7 @@
                 assert self.transport is not None
                 self.parser = httptools.HttpResponseParser(self)
                 self.body.clear()
+                self.raw = 0
                 self.answer = loop.create_future()
                 self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {at[0]}:{at[1]}\r\n\r\n".encode())
                 return await self.answer
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -26,6 +26,7 @@
 MODULE_MARGIN = 0.02  # s by which the module's deadline lies before the proxy's own
 LAG_FADE = 0.995  # of the measured loop lag that is kept at each timer
 MOST_PROBES = 32  # at once
+MOST_FIGURE = 1e6  # of a report; more is no load, and would outweigh all other reports
 PROBE_TIMEOUT = 0.2  # s; a report that comes later is of no use
 DROPPED = HOP_BY_HOP | {b"x-load-report", b"x-rejected"}
 REPORT_FIELDS = {
@@ -42,8 +43,9 @@
             name, _, value = pair.partition("=")
             name = REPORT_FIELDS.get(name.strip(), name.strip())
             figure = float(value)
-            if figure - figure == 0.0:
-                report[name] = figure
+            if name in report or not 0 <= figure <= MOST_FIGURE:
+                return None  # what says one thing twice, or what can't be, is trusted in nothing
+            report[name] = figure
     except ValueError:
         return None
     return report or None
@@ -278,9 +280,8 @@
             self._close(call, 200, headers, exchange.body)
         report = None
         if self.settings.reports == "answer":
-            for name, value in exchange.headers:
-                if name == b"x-load-report":
-                    report = read_report(value)
+            reports = [value for name, value in exchange.headers if name == b"x-load-report"]
+            report = read_report(reports[0]) if len(reports) == 1 else None
         self._push(
             api.Outcome(call.number, number, server, status, exchange.elapsed, not call.open, report)
         )
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import math
+import select
 import time
 from collections.abc import Callable
 from typing import Any, cast
@@ -18,11 +20,14 @@
 log = logging.getLogger(__name__)
 
 MOST_BODY = 64 * 1024  # bytes of an answer
-MOST_HEAD = 32 * 1024  # bytes of an answer's headers
+MOST_HEAD = 32 * 1024  # bytes of an answer's headers, with all 1xx answers ahead of it
+MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # bytes of an answer as it comes, chunk by chunk
 IDLE_SHARE = 0.9  # of the settings' idle time after which this side closes first
 LATE = 0.01  # s of delay of a timer after which the sockets are looked at first
 ONE_TURN = 0.001  # s; the loop reads its sockets before such a timer
+SETTLE = ONE_TURN  # s after an answer before its connection is used again: what else comes is seen first
 SWEEP = 1.0  # s between looks for idle connections
+OWN_FAULTS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 HOP_BY_HOP = frozenset(
     b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer "
     b"transfer-encoding upgrade content-length".split()
@@ -118,20 +123,20 @@
     """One connection to a backend; carries one exchange at a time."""
 
     __slots__ = (
-        "answer", "body", "exchange", "headers", "idle_since", "parser", "size", "spoilt", "transport",
-        "upstream",
+        "answer", "body", "exchange", "head_done", "headers", "idle_since", "parser", "raw", "size",
+        "transport", "until_close", "upstream",
     )
 
     def __init__(self, upstream: Upstream) -> None:
         self.upstream = upstream
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
-        self.parser: Any = httptools.HttpResponseParser(self)
+        self.parser: Any = None  # one for each exchange: nothing of the last answer can reach the next
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
-        self.size = 0
-        self.answer: tuple[Exchange, int, bytes, bool] | None = None  # whole, not handed on yet
-        self.spoilt = False
+        self.raw = self.size = 0  # bytes of this answer as they came; of its body
+        self.head_done = self.until_close = False
+        self.answer: tuple[int, bool] | None = None  # whole, not handed on yet: its code, and whether to keep
         self.idle_since = 0.0
 
     # transport callbacks
@@ -140,34 +145,52 @@
         self.upstream.owner.made += 1
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = None
+        self.transport = self.parser = None  # the parser holds this object: a cycle that would wait for gc
         self.upstream.lost(self)
         if self.exchange is not None:
             # The whole request may have left this process, so the backend may have run it: never a resend.
             exchange, self.exchange = self.exchange, None
             exchange.end(Status.RESET)
 
+    def eof_received(self) -> None:
+        if self.exchange is not None and self.until_close:
+            self.answer = self.parser.get_status_code(), False
+            self._hand_on()
+
     def data_received(self, data: bytes) -> None:
         self.upstream.heard_at = time.monotonic()
         if self.exchange is None:
             self.abandon()  # nothing was asked: an answer to nobody
             return
+        self.raw += len(data)
+        spoilt = False
         try:
             self.parser.feed_data(data)
+            # httptools gathers a header that does not end without a word, so what comes is counted as it is.
+            if self.answer is None and self.raw > (MOST_RAW if self.head_done else MOST_HEAD):
+                raise ValueError("the answer does not end")
         except Exception as fault:  # garbage; it may still have run
-            log.warning("backend %s: malformed answer: %s", self.upstream.address, fault)
-            self.spoilt = True
+            cause = fault.__context__ or fault
+            log.warning("a backend's answer can't be used: %s: %s", self.upstream.address, str(cause)[:200])
+            spoilt = True
         if self.answer is not None:
-            (exchange, code, body, keep), self.answer = self.answer, None
-            headers, self.headers = self.headers, []
-            if keep and not self.spoilt:
-                self.exchange = None
-                self.upstream.keep(self)
-            else:
-                self.abandon()
-            exchange.answered(code, headers, body)
-        elif self.spoilt:
-            self._break()
+            if spoilt:  # it is whole and good, but more came than belongs to it
+                self.answer = self.answer[0], False
+            self._hand_on()
+        elif spoilt:
+            self._spoilt()
+
+    def _hand_on(self) -> None:
+        assert self.answer is not None and self.exchange is not None
+        (code, keep), self.answer = self.answer, None
+        headers, self.headers = self.headers, []
+        body, self.body = b"".join(self.body), []
+        exchange, self.exchange, self.parser = self.exchange, None, None
+        if keep:
+            self.upstream.keep(self)
+        else:
+            self.abandon()
+        exchange.answered(code, headers, body)
 
     # parser callbacks
     def on_message_begin(self) -> None:
@@ -175,13 +198,31 @@
             raise ValueError("more than one answer to one request")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.size += len(name) + len(value)
-        if self.size > MOST_HEAD:
-            raise ValueError("headers too large")
-        self.headers.append((name.lower(), value))
+        if not self.head_done:  # a trailer is no header
+            self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        self.size = 0
+        code = self.parser.get_status_code()
+        if 100 <= code < 200:
+            return
+        self.head_done = True
+        if self.raw > MOST_HEAD + MOST_BODY:  # came in one piece
+            raise ValueError("headers too large")
+        lengths = [value for name, value in self.headers if name == b"content-length"]
+        codings = [value for name, value in self.headers if name == b"transfer-encoding"]
+        if codings:
+            if lengths or len(codings) > 1 or codings[0].lower() != b"chunked":
+                raise ValueError("no one way to tell its length")
+        elif lengths:
+            if len(lengths) > 1 or not lengths[0].isdigit():
+                raise ValueError("a length that can't be read")
+            if len(lengths[0]) > 15 or int(lengths[0]) > MOST_BODY:
+                raise ValueError("body too large")
+        elif code not in (204, 304):
+            # It ends with the connection, if the backend says that it will: else there is no end to wait for.
+            if not any(name == b"connection" and value.lower() == b"close" for name, value in self.headers):
+                raise ValueError("no length")
+            self.until_close = True
 
     def on_body(self, chunk: bytes) -> None:
         self.size += len(chunk)
@@ -191,31 +232,42 @@
 
     def on_message_complete(self) -> None:
         code = self.parser.get_status_code()
-        body, self.body = b"".join(self.body), []
-        self.size = 0
         if 100 <= code < 200 and code != 101:
             self.headers = []  # an interim answer
-        elif self.exchange is not None:
-            keep = code != 101 and self.parser.should_keep_alive()  # known only here
-            self.answer = self.exchange, code, body, keep
+        else:
+            self.answer = code, code != 101 and self.parser.should_keep_alive()  # known only here
 
     def begin(self, exchange: Exchange) -> None:
         assert self.transport is not None
         self.exchange = exchange
+        self.parser = httptools.HttpResponseParser(self)
+        self.headers, self.body = [], []
+        self.raw = self.size = 0
+        self.head_done = self.until_close = False
         self.transport.write(exchange.request)
 
+    def unread(self) -> bool:
+        """Whether bytes nobody asked for, or the connection's end, lie in its socket by now."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def abandon(self) -> None:
         self.exchange = None
         self.upstream.forget(self)
         if self.transport is not None:
             self.transport.abort()
 
-    def _break(self) -> None:
+    def _spoilt(self) -> None:
+        """The backend answered, with something of no use: an error that may have run. Unlike a reset it says
+        nothing of whether the backend is up."""
         exchange = self.exchange
         self.abandon()
         if exchange is not None:
             exchange.connection = None
-            exchange.end(Status.RESET)
+            exchange.end(Status.ERROR)
 
 
 class Upstream:
@@ -234,10 +286,17 @@
         return self.state is ServerState.SERVING
 
     def take_idle(self) -> Connection | None:
-        """The connection used last: the others grow old and are closed."""
-        oldest = time.monotonic() - self.owner.idle_for
+        """The connection used last: the others grow old and are closed. One that was in use just now only
+        where there is no other."""
+        now = time.monotonic()
+        oldest, settled = now - self.owner.idle_for, now - SETTLE
         while self.idle:
-            connection = self.idle.pop()
+            place = len(self.idle) - 1
+            while place and self.idle[place].idle_since > settled:
+                place -= 1
+            if self.idle[place].idle_since > settled:
+                place = -1
+            connection = self.idle.pop(place)
             if connection.transport is not None and not connection.transport.is_closing():
                 if connection.idle_since > oldest:
                     return connection
@@ -317,7 +376,11 @@
         upstream = exchange.upstream
         connection = upstream.take_idle()
         if connection is not None:
-            exchange.run_on(connection)
+            wait = connection.idle_since + SETTLE - time.monotonic()
+            if wait > 0:
+                self.loop.call_later(wait, self._use, exchange, connection)
+            else:
+                self._use(exchange, connection)
         elif self.open >= self.most_open and not self._spare_one():
             exchange.end(Status.MOOT)  # this proxy's own bound: no fault of the backend's
         else:
@@ -325,6 +388,15 @@
             self._connects.add(task)
             task.add_done_callback(self._connects.discard)
 
+    def _use(self, exchange: Exchange, connection: Connection) -> None:
+        """Bytes that lie unread would be taken for the answer to what is sent now."""
+        if connection in connection.upstream.connections and not connection.unread():
+            exchange.run_on(connection)
+            return
+        connection.abandon()
+        if exchange.status is None:
+            self.start(exchange)
+
     async def _connect(self, exchange: Exchange, upstream: Upstream) -> None:
         connection = Connection(upstream)
         at, since = upstream.address, upstream.started_at
@@ -337,9 +409,11 @@
                 raise ConnectionError("lost as soon as made")
             upstream.connections.add(connection)
             exchange.run_on(connection)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as fault:
             connection.abandon()
-            exchange.end(Status.CONNECT_FAILED)
+            # What this machine lacks is no fault of the backend's.
+            own = isinstance(fault, OSError) and fault.errno in OWN_FAULTS
+            exchange.end(Status.MOOT if own else Status.CONNECT_FAILED)
         except Exception:
             log.exception("backend %s: an attempt failed", at)
             connection.abandon()
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import copy
 import json
 import os
 import signal
@@ -229,7 +230,7 @@
 def config(discovery: str, known: dict[str, Any], listen: str, **changes: Any) -> dict[str, Any]:
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": changes.pop("sockets", 1024)}
     return {"name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-            "limits": limits, "known": known, "settings": {**SETTINGS, **changes}}  # fmt: skip
+            "limits": limits, "known": known, "settings": copy.deepcopy({**SETTINGS, **changes})}  # fmt: skip
 
 
 async def start_program(raw: object, folder: str) -> asyncio.subprocess.Process:
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,195 @@
+"""Backends that answer badly: each answer is served whole, or its attempt ends at once as one that may have
+run; nothing is served that belongs to another request."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+import httptools
+import pytest
+from netkit import PATIENCE, Backend, Seen, proxy, response, run
+
+from granitepoint.interface import ServerEntry, ServerState
+from granitepoint.net import upstream as up
+from granitepoint.net.discovery import Listed, Listing
+from granitepoint.net.driver import read_report
+
+OK = b"HTTP/1.1 200 OK\r\n"
+BAD = {
+    "noise": b"\x00\x17\x88 noise, and no more",
+    "a bad status": b"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok",
+    "negative length": OK + b"Content-Length: -5\r\n\r\nhello",
+    "no number": OK + b"Content-Length: many\r\n\r\nhello",
+    "two lengths": OK + b"Content-Length: 5\r\nContent-Length: 4\r\n\r\nhello",
+    "one length twice": OK + b"Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+    "length and chunks": OK + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "odd coding": OK + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "no length": OK + b"\r\nhello",
+    "3 GB": OK + b"Content-Length: 3000000000\r\n\r\nhello",
+    "huge length": OK + b"Content-Length: 99999999999999999999999999\r\n\r\nhello",
+    "bad chunk": OK + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nhello",
+    "upgrade": b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+}
+ENDLESS = {
+    "head": (OK + b"X-Long: ", b"a" * 1000),
+    "headers": (OK, b"X-More: a\r\n" * 100),
+    "1xx": (b"", b"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" * 30),
+    "chunk extension": (OK + b"Transfer-Encoding: chunked\r\n\r\n5;", b"a" * 20_000),
+    "trailer": (OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X-T: a\r\n" * 2000),
+    "body": (OK + b"Connection: close\r\n\r\n", b"a" * 20_000),
+}
+
+
+async def failed_at_once(backend: Backend) -> None:
+    """The budget and the attempt's time are seconds: only the answer itself can end it this soon."""
+    async with proxy({"s-1": backend}) as node:
+        caller = await node.caller()
+        begun = asyncio.get_running_loop().time()
+        reply = await caller.call("canje", "a" * 16, budget="5000m")
+        assert reply.code == 502 and "retry-after" not in reply.headers
+        assert asyncio.get_running_loop().time() - begun < 1.5
+        assert backend.count == 1
+        async with asyncio.timeout(PATIENCE):
+            await backend.closed.get()
+
+
+@pytest.mark.parametrize("spoilt", BAD.values(), ids=BAD)
+def test_a_spoilt_answer_ends_its_attempt_at_once(spoilt: bytes) -> None:
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(spoilt)
+
+    run(failed_at_once(Backend(behave)))
+
+
+@pytest.mark.parametrize(("begin", "more"), ENDLESS.values(), ids=ENDLESS)
+def test_an_answer_without_end_is_cut_off(begin: bytes, more: bytes) -> None:
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(begin)
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(more)
+                await writer.drain()
+                await asyncio.sleep(0.001)
+
+    run(failed_at_once(Backend(behave)))
+
+
+GOOD = {
+    "1xx ahead": (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                  + OK + b"Content-Length: 2\r\n\r\nme", True),
+    "chunks and a trailer": (OK + b"Transfer-Encoding: chunked\r\n\r\n2\r\nme\r\n0\r\nX-T: 1\r\n\r\n", True),
+    "noise behind": (OK + b"Content-Length: 2\r\n\r\nme\x00\x01noise", False),
+    "a copy behind": ((OK + b"Content-Length: 2\r\n\r\nme") * 2, False),
+    "half a copy behind": (OK + b"Content-Length: 2\r\n\r\nmeHTTP", False),
+    "bad report": (OK + b"X-Load-Report: inflight=,,=\r\nContent-Length: 2\r\n\r\nme", True),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize(("answer", "kept"), GOOD.values(), ids=GOOD)
+def test_a_good_answer_is_served_and_what_came_behind_it_is_not(answer: bytes, kept: bool) -> None:
+    async def test() -> None:
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer if seen.headers["x-call-id"] == "a" * 16 else response(200, b"other"))
+
+        backend = Backend(behave)
+        async with proxy({"s-1": backend}) as node:
+            caller = await node.caller()
+            reply = await caller.call("canje", "a" * 16)
+            assert (reply.code, reply.body) == (200, b"me")
+            assert not {"link", "x-t", "x-load-report"} & set(reply.headers)
+            for number in range(3):
+                assert (await caller.call("canje", f"{number:016x}")).body == b"other"
+            numbers = [(await backend.calls.get()).connection for _ in range(4)]
+            assert (numbers[0] == numbers[1]) == kept
+
+    run(test())
+
+
+def test_an_answer_may_end_with_its_connection_if_it_says_so() -> None:
+    async def test() -> None:
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(OK + b"Connection: close\r\n\r\nme")
+            await writer.drain()
+            writer.close()
+
+        async with proxy({"s-1": Backend(behave)}) as node:
+            reply = await (await node.caller()).call("canje", "a" * 16)
+            assert (reply.code, reply.body) == (200, b"me")
+
+    run(test())
+
+
+def test_bytes_that_lie_unread_never_answer_the_next_request() -> None:
+    """The copy is in the socket before the next request is sent, and the loop has not read it yet."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        owner = up.Upstreams(1.0, 30.0, most_open=10)
+        entry = ServerEntry(server=1, state=ServerState.SERVING)
+        owner.apply(Listing(1, True, [Listed(listener.getsockname(), entry)]))
+        ended: asyncio.Queue[up.Exchange] = asyncio.Queue()
+
+        def start() -> None:
+            def done(exchange: up.Exchange) -> None:
+                if ended.empty() and exchange.body == b"old":
+                    backend.sendall(response(200, b"old"))
+                    start()
+                ended.put_nowait(exchange)
+
+            request = b"GET /stock HTTP/1.1\r\n\r\n"
+            owner.start(up.Exchange(owner.by_id[1], request, 5.0, lambda: True, done))
+
+        async with asyncio.timeout(PATIENCE):
+            start()
+            backend, _ = await loop.sock_accept(listener)
+            await loop.sock_recv(backend, 1000)
+            backend.sendall(response(200, b"old"))
+            assert (await ended.get()).body == b"old"
+            second, _ = await loop.sock_accept(listener)
+            await loop.sock_recv(second, 1000)
+            second.sendall(response(200, b"new"))
+            assert (await ended.get()).body == b"new"
+        for each in (backend, second, listener):
+            each.close()
+
+    run(test())
+
+
+def test_a_closed_connection_leaves_no_cycle_behind() -> None:
+    """A parser holds its connection: cut by hand, for the cycle collector seldom looks at what is old."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        listener = socket.create_server(("127.0.0.1", 0))
+        owner = up.Upstreams(1.0, 30.0, most_open=10)
+        entry = ServerEntry(server=1, state=ServerState.SERVING)
+        owner.apply(Listing(1, True, [Listed(listener.getsockname(), entry)]))
+        ended: asyncio.Future[up.Connection] = loop.create_future()
+
+        def done(exchange: up.Exchange) -> None:
+            connection = next(iter(owner.by_id[1].connections))
+            assert isinstance(connection.parser, httptools.HttpResponseParser)
+            ended.set_result(connection)
+
+        owner.start(up.Exchange(owner.by_id[1], b"GET / HTTP/1.1\r\n\r\n", 0.05, lambda: True, done))
+        async with asyncio.timeout(PATIENCE):
+            connection = await ended
+            while connection.transport is not None:
+                await asyncio.sleep(0)
+        assert connection.parser is None and not owner.by_id[1].connections and owner.open == 0
+        listener.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "text", ["", "x", "inflight=", "inflight=-1", "inflight=1e300", "inflight=nan", "inflight=inf",
+             "inflight=1,inflight=9", "inflight=1,busy_reqs=9", "inflight=3,queue=-2", "inflight=7;queue=1"]
+)  # fmt: skip
+def test_a_load_report_that_cannot_be_is_none(text: str) -> None:
+    assert read_report(text.encode()) is None
+    assert read_report(b"inflight=7,queue=2") == {"busy_reqs": 7.0, "pending": 2.0}
