--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -8,6 +8,8 @@
 import os
 import signal
 import sys
+import time
+from collections import Counter
 
 import uvloop
 
@@ -21,7 +23,25 @@
 LAST_ACCEPT = 0.6  # s after SIGTERM at which the listener and the idle connections close
 DRAIN_STEP = 0.01  # s between looks whether all is answered
 LAST_BYTES = 1.0  # s for the last answers to be taken
-CLIENT_SHARE = 0.5  # of the descriptors, for callers' connections; the upstreams' bound is in the driver
+LOG_LINES = 20  # of one kind
+LOG_SPAN = 10.0  # s for which no more are written
+
+
+class Sparse(logging.Filter):
+    """A flood of bad input must not become a flood of lines."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.until = 0.0
+        self.lines: Counter[object] = Counter()
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        now = time.monotonic()
+        if now >= self.until:
+            self.until = now + LOG_SPAN
+            self.lines.clear()
+        self.lines[record.msg] += 1  # the template, not the text
+        return self.lines[record.msg] <= LOG_LINES
 
 
 async def drain(server: Server, driver: Driver) -> None:
@@ -41,7 +61,7 @@
         if not server.connections:
             return
         await asyncio.sleep(DRAIN_STEP)
-    server.abort()
+    server.abort_leaving()
 
 
 def reload(driver: Driver) -> None:
@@ -62,7 +82,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, term.set)
     driver = Driver(config)
-    server = Server(driver.effects, driver, int(config.sockets * CLIENT_SHARE))
+    server = Server(driver.effects, driver, config.sockets, config.memory_mb)
     loop.add_signal_handler(signal.SIGHUP, reload, driver)  # before it is ready, and for good
     driver.start()
     await server.listen(*config.listen)
@@ -78,6 +98,7 @@
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes while it starts finds the new file read
     logging.basicConfig(stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
+    logging.getLogger().handlers[0].addFilter(Sparse())
     try:
         config = load(os.environ)
         asyncio.Runner(loop_factory=uvloop.new_event_loop).run(serve(config))
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -26,6 +26,7 @@
     discovery: Address
     seed: int
     sockets: int  # file descriptors that the process may hold
+    memory_mb: float
     known: Mapping[str, Any]  # the list of backends as last held, in discovery's form
     settings: Settings
 
@@ -93,12 +94,16 @@
         sockets = min(int(limits.get("sockets", soft)), soft)
         if sockets < 64:
             raise ValueError(f"too few sockets: {sockets}")
+        memory_mb = float(limits.get("memory_mb", 192))
+        if not 0 < memory_mb < 1 << 30:
+            raise ValueError(f"no such memory: {memory_mb}")
         return Config(
             name=environ.get("EDGE_NAME") or str(raw.get("name", "")),
             listen=address(environ.get("EDGE_LISTEN") or raw.get("listen")),
             discovery=address(environ.get("EDGE_DISCOVERY") or raw.get("discovery")),
             seed=_seed(raw.get("seed", 0)),
             sockets=sockets,
+            memory_mb=memory_mb,
             known=known,
             settings=read_settings(flatten(raw["settings"])),
         )
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -17,7 +17,7 @@
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import Discovery, Listing, read_listing
 from granitepoint.net.server import Reply, Request
-from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, Exchange, Upstreams
+from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, UPSTREAM_SHARE, Exchange, Upstreams
 
 log = logging.getLogger(__name__)
 
@@ -70,9 +70,12 @@
         self.loop = asyncio.get_running_loop()
         self.config, self.settings = config, config.settings
         self.effects = {cls.name: cls.effect for cls in self.settings.classes}
+        self.deadlines = {cls.name: cls.deadline for cls in self.settings.classes}
         self.balancer = Balancer(self.settings, config.seed)
         self.upstreams = Upstreams(
-            self.settings.connect_timeout, self.settings.conn_idle, most_open=config.sockets * 2 // 5
+            self.settings.connect_timeout,
+            self.settings.conn_idle,
+            most_open=int(config.sockets * UPSTREAM_SHARE),
         )
         self.calls: dict[int, OpenCall] = {}
         self.out: dict[int, Exchange] = {}  # attempts, by call: also of calls whose caller has left
@@ -183,7 +186,8 @@
         number = self.calls_taken
         # What the budget has lost before the request was read shows only as this loop's lag.
         margin = min(MOST_MARGIN, LEAST_MARGIN + 2 * self.lag)
-        deadline = request.came + request.budget - margin
+        # No client of a class waits longer than its deadline, whatever it says.
+        deadline = request.came + min(request.budget, self.deadlines[request.cls]) - margin
         call = OpenCall(number, request, reply, deadline)
         self.calls[number] = call
         self.ids.add(request.id)
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -14,22 +14,31 @@
 import httptools
 
 from granitepoint.interface import Effect
-from granitepoint.net.upstream import HOP_BY_HOP
+from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, UPSTREAM_SHARE
 
 log = logging.getLogger(__name__)
 
 MOST_BODY = 64 * 1024  # bytes of a request
 MOST_HEAD = 32 * 1024  # bytes of its target and headers
-IDLE = 120.0  # s after which a connection that asks nothing, or stops midway, is closed
-LINGER = 1.0  # s for which what still comes after a last answer to bad input is read and dropped
-SPARE_AGE = 0.5  # s without a request after which a connection may make room for another
-SWEEP = 5.0  # s between looks for those
+MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # bytes of a request as it comes, chunk by chunk
+WHOLE = 2.2  # s from the connect, or from a further request's first byte, to a whole request
+KEPT = 5.0  # s after an answer for which a connection that asks nothing more is kept
+LINGER = 2.0  # s in which a last answer must have been taken; what still comes meanwhile is dropped
+SWEEP = 0.1  # s between looks for connections whose time is up
+RESERVE = 24  # descriptors for the listener, discovery, the loop and the log, at 240 and more
+# Who makes room, in this order: who has asked nothing yet (fresh) or no more (kept) for so many s.
+YIELDS = (("fresh", 0.3), ("kept", 2.0), ("fresh", 0.05), ("kept", 0.5))
+EXTRA_SHARE = 0.12  # of the callers' connections, where a newcomer is told that there is no room
+BASE_MEMORY = 20  # MB of the process before it serves
+CALLER_MEMORY = 0.125  # MB that a connection may hold: a request with its copy, and an answer
+UNCLEAN = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")  # in a header's value
+TARGET = re.compile(rb"/[\x21-\x7e]*")
 BUDGET = re.compile(rb"(\d{1,15}(?:\.\d{1,9})?)([mu])")
 REPLACED = HOP_BY_HOP | {b"x-budget", b"expect", b"x-load-report"}
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 409: b"Conflict", 413: b"Content Too Large",
-    429: b"Too Many Requests", 500: b"Internal Server Error", 502: b"Bad Gateway",
-    503: b"Service Unavailable", 504: b"Gateway Timeout",
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
+    413: b"Content Too Large", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
+    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
 NO_HEADERS: tuple[tuple[bytes, bytes], ...] = ()
 
@@ -88,8 +97,10 @@
     effects: Mapping[str, Effect],
 ) -> Request:
     """Raises BadRequest; the rules that need a second look stand here, not in the parser."""
-    if not target.startswith(b"/"):
+    if not TARGET.fullmatch(target):
         raise BadRequest(400, "the target is not a path")
+    if any(UNCLEAN.search(value) for _, value in headers):
+        raise BadRequest(400, "a header holds what a backend might not read")
     cls = target[1:].split(b"?", 1)[0].split(b"/", 1)[0].decode("latin-1")
     effect = effects.get(cls)
     if effect is None:
@@ -136,34 +147,46 @@
 class ClientConnection(asyncio.Protocol):
     """One caller's connection: requests one after another, each with exactly one answer."""
 
+    __slots__ = (
+        "answering", "body", "body_size", "broken", "call", "extra", "full", "head_done", "head_size",
+        "headers", "inside", "keep_alive", "leaving", "parser", "paused", "raw", "server", "since", "table",
+        "target", "transport", "waiting",
+    )  # fmt: skip
+
     def __init__(self, server: Server) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
-        self.parser: Any = httptools.HttpRequestParser(self)
+        self.parser: Any = None
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
         self.head_size = self.body_size = 0
+        self.raw = 0  # bytes as they came, since the last whole request
         self.inside = False  # a request has begun to come
+        self.head_done = False
         self.waiting: deque[tuple[Request | BadRequest | None, bool]] = deque()
         self.call: object | None = None
         self.answering = False  # a request is open
         self.keep_alive = True
-        self.closing = False
-        self.changed_at = 0.0
+        self.broken = False  # what still comes is read, so that the answer arrives, and dropped
+        self.leaving = False  # has had its last answer
+        self.extra = False  # came when there was no room
+        self.table: dict[ClientConnection, None] | None = None  # of the server's, by what it is waited for
+        self.since = 0.0
         self.full = False  # the peer does not read
         self.paused = False
 
     # transport callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own class
-        self.changed_at = time.monotonic()
+        self.parser = httptools.HttpRequestParser(self)
         self.server.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = None
-        self.closing = True
+        self.transport = self.parser = None  # the parser holds this object: a cycle that would wait for gc
+        self.leaving = True
         self.waiting.clear()
+        self.server.place(self, None)
         self.server.connections.discard(self)
         call, self.call = self.call, None
         if call is not None:
@@ -179,7 +202,7 @@
 
     def _flow(self) -> None:
         """Nothing more is read from a peer that reads nothing or that is ahead of its answers."""
-        if self.transport is not None and not self.closing:
+        if self.transport is not None and not self.leaving:
             pause = self.full or bool(self.waiting)  # so it holds one read's worth of bodies at most
             if pause and not self.paused:
                 self.transport.pause_reading()
@@ -188,18 +211,27 @@
             self.paused = pause
 
     def data_received(self, data: bytes) -> None:
-        if self.closing:
+        if self.leaving or self.broken:
             return
-        self.changed_at = time.monotonic()
+        self.raw += len(data)
         try:
             self.parser.feed_data(data)
+            # httptools gathers a header that does not end without a word, so what comes is counted as it is.
+            if self.raw > MOST_HEAD and not self.head_done:
+                raise BadRequest(431, "headers too large")
+            if self.raw > MOST_RAW:
+                raise BadRequest(413, "the request does not end")
         except Exception as fault:  # from the parser, or from a callback through it
             cause = fault if isinstance(fault, BadRequest) else fault.__context__
-            bad = cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed HTTP")
-            self.waiting.append((bad, False))
-            self.closing = True  # what still comes is read, so that the answer arrives, and dropped
+            self._break(cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed HTTP"))
+        if self.table is self.server.kept and not self.waiting:
+            self.server.place(self, self.server.fresh)  # a further request has begun
         self._next()
 
+    def _break(self, bad: BadRequest) -> None:
+        self.waiting.append((bad, False))
+        self.broken = True
+
     # parser callbacks
     def on_message_begin(self) -> None:
         self.inside = True
@@ -213,17 +245,26 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._count_head(len(name) + len(value))
-        self.headers.append((name.lower(), value))
+        if not self.head_done:  # a trailer is no header
+            self.headers.append((name.lower(), value))
 
     def _count_head(self, size: int) -> None:
         self.head_size += size
         if self.head_size > MOST_HEAD:
-            raise BadRequest(400, "headers too large")
+            raise BadRequest(431, "headers too large")
 
     def on_headers_complete(self) -> None:
-        length = next((value for name, value in self.headers if name == b"content-length"), b"0")
-        if length.isdigit() and int(length) > MOST_BODY:
-            raise BadRequest(413, "body too large")
+        self.head_done = True
+        lengths = [value for name, value in self.headers if name == b"content-length"]
+        codings = [value for name, value in self.headers if name == b"transfer-encoding"]
+        # Two readings of where a body ends would let a second request hide in the first.
+        if len(lengths) + len(codings) > 1 or (codings and codings[0].lower() != b"chunked"):
+            raise BadRequest(400, "no one way to tell the length")
+        if lengths:
+            if not lengths[0].isdigit():
+                raise BadRequest(400, "Content-Length is malformed")
+            if len(lengths[0]) > 15 or int(lengths[0]) > MOST_BODY:
+                raise BadRequest(413, "body too large")
         expects = any(n == b"expect" and v.lower() == b"100-continue" for n, v in self.headers)
         if expects and self.transport is not None and not self.answering and not self.waiting:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -235,7 +276,8 @@
         self.body.append(chunk)
 
     def on_message_complete(self) -> None:
-        self.inside = False
+        self.inside = self.head_done = False
+        self.raw = 0
         parser = self.parser
         keep_alive = parser.should_keep_alive()
         method = parser.get_method()
@@ -256,15 +298,16 @@
 
     # answers
     def _next(self) -> None:
-        while self.waiting and not self.answering and self.transport is not None:
+        while self.waiting and not self.answering and not self.leaving:
             request, self.keep_alive = self.waiting.popleft()
             self.answering = True
+            self.server.place(self, None)
             if request is None:
                 ready = self.server.handler.ready()
                 self.answer(200 if ready else 503, NO_HEADERS, b"ok\n" if ready else b"not ready\n")
             elif isinstance(request, BadRequest):
                 self.answer(request.code, NO_HEADERS, f"{request}\n".encode())
-            elif self.server.crowded():
+            elif self.extra:
                 # Never sent, so a refusal is harmless.
                 self.keep_alive = False
                 self.answer(503, ((b"retry-after", b"1"),), b"too many connections\n")
@@ -295,78 +338,141 @@
         parts.append(b"connection: close\r\n\r\n" if last else b"\r\n")
         parts.append(body)
         transport.write(b"".join(parts))
-        self.changed_at = time.monotonic()
-        if last and self.closing:
-            # The peer may still be sending. Closing on unread bytes resets the connection, which can take
-            # the answer with it: first only this side ends.
-            self.waiting.clear()
-            transport.write_eof()
-            self.server.loop.call_later(LINGER, transport.abort)
-        elif last:
-            self.closing = True
-            self.waiting.clear()
-            transport.close()
+        if last:
+            self.close()
         elif self.waiting:
             self.server.loop.call_soon(self._next)
-
-    @property
-    def idle(self) -> bool:
-        return not self.answering and not self.waiting and not self.inside
+        else:
+            self.server.place(self, self.server.fresh if self.inside else self.server.kept)
 
     def close(self) -> None:
+        """After what has been written. Where the peer may still be sending only this side ends at first:
+        closing on unread bytes resets the connection, which can take the answer with it."""
+        transport = self.transport
+        if transport is None or self.leaving:
+            return
+        self.leaving = True
+        self.waiting.clear()
+        self.server.place(self, self.server.leaving)
+        if not self.broken:
+            transport.close()
+            return
+        if self.paused:
+            transport.resume_reading()
+        transport.write_eof()
+
+    def too_late(self) -> None:
+        """No whole request has come in time. Half of one gets an answer that says so."""
+        if self.raw:
+            self._break(BadRequest(408, "the request did not end"))
+            self._next()
+        else:
+            self.close()
+
+    def abort(self) -> None:
+        self.leaving = True
         if self.transport is not None:
-            self.closing = True
-            self.transport.close()
+            self.transport.abort()
 
 
 class Server:
-    """The listener and the callers' connections."""
+    """The listener and the callers' connections.
 
-    def __init__(self, effects: Mapping[str, Effect], handler: Handler, most_open: int) -> None:
+    A connection without an open request stands in one table, by what it is waited for, the longest first.
+    """
+
+    def __init__(
+        self, effects: Mapping[str, Effect], handler: Handler, sockets: int, memory_mb: float
+    ) -> None:
         self.loop = asyncio.get_running_loop()
-        self.effects, self.handler, self.most_open = effects, handler, most_open
+        self.effects, self.handler = effects, handler
+        others = int(sockets * UPSTREAM_SHARE) + min(RESERVE, sockets // 10)
+        by_memory = int(max(1.0, memory_mb - BASE_MEMORY) / CALLER_MEMORY)
+        self.most_ever = max(8, min(sockets - others, by_memory))
+        self.most_open = self.most_ever - int(self.most_ever * EXTRA_SHARE)
         self.connections: set[ClientConnection] = set()
+        self.fresh: dict[ClientConnection, None] = {}  # owe a whole request
+        self.kept: dict[ClientConnection, None] = {}  # answered, and asking nothing
+        self.leaving: dict[ClientConnection, None] = {}  # have had their last answer
         self.draining = False  # each answer is the last on its connection
         self.listener: asyncio.Server | None = None
+        self.sweep_due = 0.0
 
-    def crowded(self) -> bool:
-        return len(self.connections) > self.most_open
+    def place(self, connection: ClientConnection, table: dict[ClientConnection, None] | None) -> None:
+        if connection.table is not None:
+            del connection.table[connection]
+        connection.table = table
+        if table is not None:
+            connection.since = time.monotonic()
+            table[connection] = None
 
     def add(self, connection: ClientConnection) -> None:
-        """Beyond the bound, the connection that asked nothing the longest makes room: a caller may find one
-        closed between requests. Where all are busy, crowded() has the newest request refused."""
+        """Descriptors are bounded: beyond the bound, a connection that is of no use makes room. Where all
+        are, the newcomer's request is refused, and in the end the newcomer itself."""
         self.connections.add(connection)
-        if self.crowded():
-            oldest = min(self.connections, key=lambda c: c.changed_at if c.idle else float("inf"))
-            if oldest.idle and oldest.changed_at < time.monotonic() - SPARE_AGE:
-                oldest.close()
-                self.connections.discard(oldest)
+        if len(self.connections) > self.most_open and not self._make_room():
+            if len(self.connections) > self.most_ever:
+                connection.abort()
+                return
+            connection.extra = True
+        self.place(connection, self.fresh)
+
+    def _make_room(self) -> bool:
+        now = time.monotonic()
+        if self.leaving:
+            next(iter(self.leaving)).abort()
+            return True
+        for which, age in YIELDS:
+            oldest = next(iter(self.kept if which == "kept" else self.fresh), None)
+            if oldest is not None and oldest.since <= now - age:
+                self.place(oldest, None)
+                oldest.abort()
+                return True
+        return False
 
     async def listen(self, host: str, port: int) -> int:
         self.listener = await self.loop.create_server(
             lambda: ClientConnection(self), host, port, backlog=1024
         )
-        self.loop.call_later(SWEEP, self._sweep)
+        self._sweep_later()
         return int(self.listener.sockets[0].getsockname()[1])
 
     def stop_listening(self) -> None:
         if self.listener is not None:
             self.listener.close()
 
-    def close_idle(self, unused_since: float = float("inf"), partial: bool = False) -> None:
-        for connection in list(self.connections):
-            unused = connection.idle or (partial and not connection.answering)
-            if unused and not connection.closing and connection.changed_at <= unused_since:
+    def close_idle(self, partial: bool = False) -> None:
+        """All that ask nothing, and on demand those whose request has only begun to come."""
+        for connection in [*self.kept, *self.fresh]:
+            if partial or not connection.raw:
                 connection.close()
 
-    def abort(self, unused_since: float = float("inf")) -> None:
+    def abort_leaving(self) -> None:
         """Ends what a close does not: peers that never take their last answer."""
-        for connection in list(self.connections):
-            if connection.closing and connection.transport and connection.changed_at <= unused_since:
-                connection.transport.abort()
+        for connection in list(self.leaving):
+            connection.abort()
 
-    def _sweep(self) -> None:
-        oldest = time.monotonic() - IDLE
-        self.close_idle(oldest, partial=True)
-        self.abort(oldest)
+    def _sweep_later(self) -> None:
+        self.sweep_due = time.monotonic() + SWEEP
         self.loop.call_later(SWEEP, self._sweep)
+
+    def _sweep(self) -> None:
+        now = time.monotonic()
+        if now > self.sweep_due + SWEEP + LATE:
+            # This process stood still, and timers come before sockets: what is missing may have come.
+            self.sweep_due = now
+            self.loop.call_later(ONE_TURN, self._sweep)
+            return
+        for table, bound, end in (
+            (self.fresh, WHOLE, ClientConnection.too_late),
+            (self.kept, KEPT, ClientConnection.close),
+            (self.leaving, LINGER, ClientConnection.abort),
+        ):
+            due = []
+            for connection in table:
+                if connection.since > now - bound:
+                    break
+                due.append(connection)
+            for connection in due:
+                end(connection)
+        self._sweep_later()
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,293 @@
+"""Callers that send badly, slowly, too much or nothing: owed an error or a close, and no harm to others."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import os
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from netkit import GRADES, PATIENCE, Backend, Caller, Proxy, Seen, next_call, proxy, run, serve_ok
+
+from granitepoint.__main__ import LOG_LINES, Sparse
+from granitepoint.interface import Effect
+from granitepoint.net.server import ClientConnection, Server
+
+HEAD = b" HTTP/1.1\r\nHost: x\r\nX-Call-Id: 0011223344556677\r\nX-Budget: 500m\r\n"
+HIDDEN = b"POST /canje HTTP/1.1\r\nX-Call-Id: 8899aabbccddeeff\r\nX-Budget: 900m\r\nContent-Length: 0\r\n\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+
+
+async def told(caller: Caller) -> int:
+    """The code of the one answer, 0 for none; waits until the connection has ended behind it."""
+    code = 0
+    with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        code = (await caller.answer()).code
+    async with asyncio.timeout(PATIENCE):
+        with contextlib.suppress(ConnectionError):
+            assert await caller.reader.read() == b""
+    return code
+
+
+async def write_for_ever(caller: Caller, data: bytes, pause: float = 0.0005) -> None:
+    with contextlib.suppress(ConnectionError):
+        while True:
+            caller.writer.write(data)
+            await caller.writer.drain()
+            await asyncio.sleep(pause)
+
+
+async def fine(node: Proxy) -> bool:
+    return (await (await node.caller()).call("stock", "2" * 16)).code == 200
+
+
+ENDLESS = {
+    "header": (431, b"GET /stock" + HEAD + b"X-Long: ", b"a" * 1000),
+    "headers": (431, b"GET /stock" + HEAD, b"X-More: a\r\n" * 100),
+    "target": (431, b"GET /stock?", b"a" * 1000),
+    "chunk extension": (413, b"POST /canje" + HEAD + CHUNKED + b"\r\n5;", b"a" * 20_000),
+    "trailer": (413, b"POST /canje" + HEAD + CHUNKED + b"\r\n0\r\nX-T: ", b"a" * 20_000),
+}
+
+
+@pytest.mark.parametrize(("code", "begin", "more"), ENDLESS.values(), ids=ENDLESS)
+def test_a_request_without_end_is_cut_off(code: int, begin: bytes, more: bytes) -> None:
+    """At full speed, so by the bytes and before the time is up."""
+
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}) as node:
+            caller = await node.caller()
+            caller.writer.write(begin)
+            writing = asyncio.create_task(write_for_ever(caller, more))
+            begun = asyncio.get_running_loop().time()
+            assert (await caller.answer()).code == code
+            assert asyncio.get_running_loop().time() - begun < 1.5
+            writing.cancel()
+            assert await fine(node)
+
+    run(test())
+
+
+async def nothing(caller: Caller) -> None:
+    return
+
+
+async def half(caller: Caller) -> None:
+    caller.writer.write(b"POST /canje" + HEAD + b"Content-Length: 10\r\n\r\nhalf")
+
+
+async def drip(caller: Caller) -> None:
+    caller.writer.write(b"GET /stock" + HEAD + b"X-Slow: ")
+    await write_for_ever(caller, b"a", 0.1)
+
+
+async def served_then_half(caller: Caller) -> None:
+    assert (await caller.call("stock", "3" * 16)).code == 200
+    await half(caller)
+
+
+@pytest.mark.parametrize(
+    ("act", "code"), [(nothing, 0), (half, 408), (drip, 408), (served_then_half, 408)]
+)  # fmt: skip
+def test_a_caller_that_sends_no_whole_request_is_told_within_3_s(
+    act: Callable[[Caller], Awaitable[None]], code: int
+) -> None:
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}) as node:
+            begun = asyncio.get_running_loop().time()
+            caller = await node.caller()
+            acting = asyncio.ensure_future(act(caller))
+            if act is served_then_half:
+                await acting
+            assert await told(caller) == code
+            assert 1.8 < asyncio.get_running_loop().time() - begun < 3.0
+            acting.cancel()
+
+    run(test())
+
+
+def test_a_request_that_is_being_served_is_never_closed_for_its_age() -> None:
+    async def test() -> None:
+        free = asyncio.Event()
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await free.wait()
+            await serve_ok(seen, writer)
+
+        backend = Backend(behave)
+        grades = [{**grade, "objective": grade["deadline"]} for grade in GRADES]
+        async with proxy({"s-1": backend}, grades=grades) as node:
+            old, silent = await node.caller(), await node.caller()
+            old.send("canje", "a" * 16, budget="6000m")
+            await next_call(backend)
+            assert await silent.ended()  # the bound has passed
+            free.set()
+            assert (await old.answer()).code == 200
+            assert (await old.call("canje", "b" * 16)).code == 200
+
+    run(test())
+
+
+def test_a_crowd_of_silent_callers_leaves_room_and_descriptors() -> None:
+    """Upstreams and discovery keep their reserve of 256 descriptors, and a caller that asks is served."""
+
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}, sockets=256) as node:
+            most = 0
+            crowd = [asyncio.open_connection(*node.address) for _ in range(400)]
+            opened = await asyncio.gather(*crowd)
+            for number in range(20):
+                caller = await node.caller()
+                with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                    if (await caller.call("stock", f"{number:016x}")).code == 200:
+                        break
+                most = max(most, len(os.listdir(f"/proc/{node.process.pid}/fd")))
+                await asyncio.sleep(0.05)  # a second at most
+            else:
+                raise AssertionError("nobody was served")
+            assert most <= 256 * 0.6  # the upstreams' two fifths are free
+            ends = [Caller(*pair).ended() for pair in opened]
+            async with asyncio.timeout(3.0):
+                assert all(await asyncio.gather(*ends))
+            assert node.process.returncode is None
+
+    run(test())
+
+
+def test_60_mb_get_their_answer() -> None:
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}) as node:
+            caller = await node.caller()
+            length = 60 << 20
+            caller.writer.write(b"POST /canje" + HEAD + b"Content-Length: %d\r\n\r\n" % length)
+            writing = asyncio.create_task(write_for_ever(caller, bytes(1 << 20), 0.0))
+            assert (await caller.answer()).code == 413
+            async with asyncio.timeout(6.0):
+                with contextlib.suppress(ConnectionError):
+                    await caller.reader.read()
+            writing.cancel()
+            assert await fine(node)
+
+    run(test())
+
+
+SMUGGLED = {
+    "length, chunks": b"Content-Length: 5\r\n" + CHUNKED + b"\r\n0\r\n\r\n" + HIDDEN,
+    "chunks, length": CHUNKED + b"Content-Length: 5\r\n\r\n0\r\n\r\n" + HIDDEN,
+    "two lengths": b"Content-Length: 0\r\nContent-Length: %d\r\n\r\n" % len(HIDDEN) + HIDDEN,
+    "one length twice": b"Content-Length: 0\r\nContent-Length: 0\r\n\r\n" + HIDDEN,
+    "list of lengths": b"Content-Length: 0, 0\r\n\r\n" + HIDDEN,
+    "negative": b"Content-Length: -1\r\n\r\n" + HIDDEN,
+    "signed": b"Content-Length: +0\r\n\r\n" + HIDDEN,
+    "hex": b"Content-Length: 0x10\r\n\r\n" + HIDDEN,
+    "odd coding": b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + HIDDEN,
+    "coding twice": CHUNKED * 2 + b"\r\n0\r\n\r\n" + HIDDEN,
+    "unknown coding": b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + HIDDEN,
+    "spaced name": b"Content-Length : 0\r\n\r\n" + HIDDEN,
+    "bad chunk": CHUNKED + b"\r\n-1\r\n\r\n" + HIDDEN,
+}
+
+
+@pytest.mark.parametrize("rest", SMUGGLED.values(), ids=SMUGGLED)
+def test_nothing_hides_in_a_body(rest: bytes) -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with proxy({"s-1": backend}) as node:
+            caller = await node.caller()
+            caller.writer.write(b"POST /canje" + HEAD + rest)
+            assert await told(caller) == 400
+            assert await fine(node)
+        assert backend.count == 1  # the last one
+
+    run(test())
+
+
+def test_a_huge_length_is_refused_at_the_head() -> None:
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}) as node:
+            caller = await node.caller()
+            caller.writer.write(b"POST /canje" + HEAD + b"Content-Length: " + b"9" * 30 + b"\r\n\r\n")
+            assert await told(caller) in (400, 413)
+
+    run(test())
+
+
+def test_a_trailer_is_no_header() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with proxy({"s-1": backend}) as node:
+            body = b"2\r\nhi\r\n0\r\nIdempotency-Key: k\r\nX-T: 1\r\n\r\n"
+            data = b"POST /canje" + HEAD + CHUNKED + b"\r\n" + body
+            assert (await (await node.caller()).raw(data)).code == 200
+            seen = await next_call(backend)
+        assert seen.body == b"hi" and not {"x-t", "idempotency-key", "transfer-encoding"} & set(seen.headers)
+
+    run(test())
+
+
+@pytest.mark.parametrize("spoil", [b"X-Note: a\x01b\r\n", b"X-Note: a\x7fb\r\n", b"X-Note: a\x00b\r\n"])
+def test_what_a_backend_might_not_read_is_not_passed_on(spoil: bytes) -> None:
+    """A backend that can't read a request closes: for the proxy that would look like the backend's fault."""
+
+    async def test() -> None:
+        backend = Backend()
+        async with proxy({"s-1": backend}) as node:
+            assert (await (await node.caller()).raw(b"GET /stock" + HEAD + spoil + b"\r\n")).code == 400
+        assert backend.count == 0
+
+    run(test())
+
+
+def test_no_call_is_held_beyond_the_deadline_of_its_class() -> None:
+    async def test() -> None:
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            return
+
+        backend = Backend(behave)
+        async with proxy({"s-1": backend}) as node:
+            begun = asyncio.get_running_loop().time()
+            reply = await (await node.caller()).call("stock", "a" * 16, budget="999999999999m")
+            assert reply.code == 503
+            assert asyncio.get_running_loop().time() - begun < 2.0
+
+    run(test())
+
+
+def test_a_closed_connection_leaves_no_cycle_and_no_entry_behind() -> None:
+    async def test() -> None:
+        class Handler:
+            def opened(self, request: Any, reply: Any) -> object:
+                reply.answer(200, (), b"")
+                return None
+
+            def left(self, call: Any) -> None: ...
+
+            def ready(self) -> bool:
+                return True
+
+        server = Server({"stock": Effect.REPEATABLE}, Handler(), 256, 64)
+        port = await server.listen("127.0.0.1", 0)
+        caller = Caller(*await asyncio.open_connection("127.0.0.1", port))
+        assert (await caller.call("stock", "a" * 16)).code == 200
+        connection: ClientConnection = next(iter(server.connections))
+        assert connection.parser is not None and connection in server.kept
+        caller.writer.close()
+        async with asyncio.timeout(PATIENCE):
+            while server.connections:
+                await asyncio.sleep(0)
+        assert connection.parser is None
+        assert not (server.fresh or server.kept or server.leaving)
+        server.stop_listening()
+
+    run(test())
+
+
+def test_a_flood_of_faults_is_no_flood_of_lines() -> None:
+    sparse = Sparse()
+    record = logging.LogRecord("x", logging.WARNING, "", 0, "fault %d", (1,), None)
+    other = logging.LogRecord("x", logging.WARNING, "", 0, "other", (), None)
+    assert sum(bool(sparse.filter(record)) for _ in range(10 * LOG_LINES)) == LOG_LINES
+    assert sparse.filter(other)
