--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -19,8 +19,11 @@
 
 log = logging.getLogger("granitepoint")
 
-STILL_COMING = 0.45  # s after SIGTERM in which all is served as before, while the front takes notice
-LAST_ACCEPT = 0.6  # s after SIGTERM at which the listener and the idle connections close
+LAST_ACCEPT = 0.6  # s after SIGTERM at which the listener closes; the front has taken notice by then
+LONGEST_WAIT = 3.0  # s of the longest deadline that the platform waits for after SIGTERM
+KILL_SPARE = 0.7  # s that it waits beyond that
+SPARE = 0.4  # s before its SIGKILL by which all is answered
+WIND_DOWN = 1.0  # s before that in which each answer is the last on its connection
 DRAIN_STEP = 0.01  # s between looks whether all is answered
 LAST_BYTES = 1.0  # s for the last answers to be taken
 LOG_LINES = 20  # of one kind
@@ -45,13 +48,17 @@
 
 
 async def drain(server: Server, driver: Driver) -> None:
-    """Callers go on using a connection that stays open, and lose what is unanswered at the end: so each
-    answer closes its own, then the rest close, and the process ends when nothing is owed any more."""
-    await asyncio.sleep(STILL_COMING)
+    """Callers go on using a connection that stays open, and are served on it for as long as all can still
+    be answered before the SIGKILL: their other proxies may be few, or restarting too. Then each answer closes
+    its own, the rest close, and the process ends when nothing is owed any more."""
+    longest = max(cls.deadline for cls in driver.settings.classes)
+    answered_by = min(longest, LONGEST_WAIT) + KILL_SPARE - SPARE
+    driver.end_by = time.monotonic() + answered_by
+    await asyncio.sleep(LAST_ACCEPT)
+    server.stop_listening()
+    await asyncio.sleep(max(0.0, answered_by - WIND_DOWN - LAST_ACCEPT))
     server.draining = True
     server.close_idle()
-    await asyncio.sleep(LAST_ACCEPT - STILL_COMING)
-    server.stop_listening()
     while driver.calls:
         server.close_idle(partial=True)
         await asyncio.sleep(DRAIN_STEP)
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -49,6 +49,7 @@
 HISTORY = 300  # worths kept in H: the cut's error is then about 3 points of 100
 BUDGETS = 64  # time budgets of a class that are kept to know the usual one
 TARGET = 0.35  # share of the aim that all but LATE_SHARE of the answers should take
+SLACK = 0.8  # share of W up to which no call is refused for its worth; W grows beyond it
 LATE_SHARE = 0.2  # share of answers past the target at which W stands still
 BASE_RATIO = 1.75  # unhurried mean latencies that the target is at least: a long tail passes less
 BASE_SAMPLES = 20  # answers before the unhurried latency is taken from them
@@ -336,7 +337,7 @@
 
     def good(self, busy: float) -> None:
         """An answer within its target. W grows only while it is what limits."""
-        if busy + 1 >= 0.8 * self.window:
+        if busy + 1 >= SLACK * self.window:
             self.window += 0.5 if self.starting else LATE_SHARE / (1 - LATE_SHARE) * self.step()
 
     def bad(self) -> None:
@@ -723,7 +724,9 @@
         fresh.append(call)
 
     def admit(self, call: Call) -> None:
-        if self.admission.admits(call.worth) and call.useful_until > self.now:
+        # W grows only while it is what limits. A cut that keeps it from filling would keep itself in force.
+        slack = self.busy + len(self.queue) + 1 <= SLACK * self.admission.window
+        if (slack or self.admission.admits(call.worth)) and call.useful_until > self.now:
             self.hold(call)
         else:
             self.refuse(call)
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -85,6 +86,7 @@
         self.events: list[api.Event] = []
         self.flush_at: asyncio.Handle | None = None
         self.flushed = 0.0
+        self.end_by = math.inf  # when the process is to end: what comes now is answered by then
         self.lag = 0.0  # s, how late this loop was lately
         self.on_empty: Callable[[], None] | None = None
         self.carriers: dict[type, Callable[[Any], None]] = {
@@ -188,11 +190,11 @@
         margin = min(MOST_MARGIN, LEAST_MARGIN + 2 * self.lag)
         # No client of a class waits longer than its deadline, whatever it says.
         deadline = request.came + min(request.budget, self.deadlines[request.cls]) - margin
-        call = OpenCall(number, request, reply, deadline)
+        call = OpenCall(number, request, reply, min(deadline, self.end_by))
         self.calls[number] = call
         self.ids.add(request.id)
         now = time.monotonic()
-        call.timer = self.loop.call_later(max(0.0, deadline - now), self._overdue, call)
+        call.timer = self.loop.call_later(max(0.0, call.deadline - now), self._overdue, call)
         self._push(
             api.Arrival(
                 call=number,
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,10 +5,12 @@
 from random import Random
 
 import pytest
-from helpers import Driver, entries, only_send, sends, settings
+from helpers import ONCE, SAFE, Driver, entries, only_send, sends, settings
 
 from granitepoint import (
+    Action,
     Arrival,
+    Balancer,
     CloseIdle,
     Effect,
     Fail,
@@ -18,6 +20,7 @@
     Probed,
     Refuse,
     RequestClass,
+    Send,
     ServerEntry,
     ServerList,
     Status,
@@ -476,3 +479,15 @@
     actions = driver.arrive(1, budget=0.08)
     assert not sends(actions) and Refuse(1) not in actions
     assert len(sends(driver.wait(0.012))) == 1
+
+
+def test_cut_refuses_nobody_while_the_window_is_not_filled() -> None:
+    """Guards against a cut that holds itself: what it refuses keeps W from filling, and so from growing."""
+    balancer = Balancer(settings(classes=[SAFE, ONCE]), 1)
+    balancer.handle(100.0, [ServerList(ListKind.SAVED, entries(1, 2, 3, 4))])
+    balancer.admission.cut, balancer.admission.tie, balancer.admission.window = 1.0, 1.0, 5.0
+    said: list[Action] = []
+    for call in range(8):
+        said += balancer.handle(100.001 + call / 1000, [Arrival(call=call, cls="once", budget=2.0)])
+    assert [action.call for action in said if isinstance(action, Send)] == [0, 1, 2, 3]
+    assert [action.call for action in said if isinstance(action, Refuse)] == [4, 5, 6, 7]
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -1,11 +1,11 @@
-"""SIGHUP, through the program itself: a new address of discovery, files that can't be used, a drain."""
+"""SIGHUP and SIGTERM, through the program itself: a new address of discovery, bad files, planned restarts."""
 
 from __future__ import annotations
 
 import asyncio
 
 import pytest
-from netkit import PATIENCE, Backend, Discovery, endpoint, next_call, proxy, run
+from netkit import PATIENCE, Backend, Discovery, Seen, endpoint, next_call, proxy, run, serve_ok
 
 
 async def first_asked(discovery: Discovery) -> str:
@@ -101,3 +101,32 @@
             assert await node.code() == 0
 
     run(test())
+
+
+def test_after_sigterm_kept_connections_are_served_on_and_all_is_answered_before_the_kill() -> None:
+    """The other proxies of a zone may be few, or restarting too. SIGKILL may come after 3.7 s."""
+
+    async def test() -> None:
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            if seen.headers["x-call-id"] != "a" * 16:
+                await serve_ok(seen, writer)
+
+        loop = asyncio.get_running_loop()
+        async with proxy({f"s-{number}": Backend(behave) for number in range(3)}) as node:
+            caller, stuck = await node.caller(), await node.caller()
+            assert (await caller.call("stock", "1" * 16)).code == 200
+            begun = loop.time()
+            node.terminate()
+            number = 2
+            while loop.time() < begun + 1.5:
+                reply = await caller.call("stock", f"{number:016x}")
+                assert reply.code == 200 and "connection" not in reply.headers
+                number += 1
+                if number == 3:
+                    stuck.send("canje", "a" * 16, budget="6000m")
+                await asyncio.sleep(0.1)
+            assert (await stuck.answer()).code in (502, 504)
+            assert await node.code() == 0
+            assert loop.time() - begun < 3.6
+
+    run(test())
