A broken connection of a backend that has just answered ejects it only as the third in a row

Checked with a line each half second from both proxies of the first tier (W, cut, busy, queue, usable servers) and one for each ejection and each failed attempt: - W stood at 10 with busy 0 and 15 calls queued; 0 of 4, later 0 of 2 servers usable for seconds at a time - 131 ejections in 25 s over all nodes, nearly all hard, from learn() on RESET, with the last answer of that server mostly 0.00 to 0.2 s old; of 139 resets of calls 125 came within 1 s of an answer - a resent keyed call must stay in its zone, whose only server had just been ejected by this very call's reset Ruled out: retry tokens (4 to 5 of 5 throughout), W and its floor (W had room), failed connects (2; the cap for want of connections held for none of the first tier's), errors of inner tiers (0 to 2 each half second). Lines at fault: Balancer.learn(), the RESET branch: excused only by the age of the connection, never by the answers to others (as a failed connect was); hard, so past EJECT_SHARE; ERROR_EXCESS and a trial's end counted resets too. Mend: Servers.alive(): answers of any kind, probes too, within ALIVE and fewer than three breaks since.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -81,7 +81,8 @@
 EJECT_FIRST = 0.5  # s of the first ejection; doubles up to EJECT_LONGEST
 EJECT_LONGEST = 8.0  # s
 EJECT_SHARE = 0.34  # share of the pool that soft signs may eject: if more look ill, the cause lies elsewhere
-ALIVE = 1.0  # s since its last answer within which a server is not taken to be dead
+ALIVE = 1.0  # s since its last answer, of any kind, within which a server is not taken to be dead
+BREAKS = 3  # broken or refused connections in a row, with no answer between, after which it is all the same
 CONNECTIONS_FULL = 5.0  # s for which a server without room gets no further connection
 ERROR_EXCESS = 0.35  # error share above the pool's that condemns a server
 COLD_SHARE = 0.5  # share of the allowed multiple of a cold server's capacity that all instances may use
@@ -396,6 +397,8 @@
 
     def fresh(self) -> None:
         """Forget what was learned: the process is another one."""
+        self.heard_at = -math.inf  # its last answer to a call or a probe, whatever it said
+        self.breaks = 0  # connections broken or refused since
         self.load_sum = self.latency_sum = 0.0
         self.errors = 0.0  # running share of errors
         self.usual = self.last_report = 0.0
@@ -585,7 +588,18 @@
         self.idle_safe = max(IDLE_LEAST, min(self.idle_safe, IDLE_SHARE * attempt.idle))
         return True
 
+    def alive(self, server: Server, now: float) -> bool:
+        """One broken connection says nothing of a server that has just answered on others. Guards against
+        resets that strike connections one by one (a network that drops them, a middle box, a worker or a
+        listener that restarts behind the address): taken for deaths they emptied the pool, while all that
+        was sent was answered. A process that died breaks several at once and answers none: it is left at the
+        third. Harm: one that dies with few calls out gets up to two more, which are refused at once."""
+        return now - server.heard_at < ALIVE and server.breaks < BREAKS
+
     # health
+    def heard(self, server: Server, now: float) -> None:
+        server.heard_at, server.breaks = now, 0
+
     def eject(self, server: Server, now: float, hard: bool) -> bool:
         if server.ejected_until:
             return False
@@ -824,9 +838,12 @@
             # meanwhile is learned a turn later.
             if status == Status.OK:
                 server.last_ok = now
+                servers.heard(server, now)
             return
         elapsed = max(elapsed, LEAST_LATENCY)
         ok = status == Status.OK
+        if ok or status in (Status.ERROR, Status.FULL):
+            servers.heard(server, now)
         if ok or (status == Status.TIMEOUT and not server.ejected_until):
             admission.observe_latency(elapsed)
             cls.mean.add(elapsed, 50)
@@ -860,14 +877,16 @@
                 server.trial = False
             elif server.ejections and not server.ejected_until:
                 server.ejections = 0
-        elif status == Status.CONNECT_FAILED and now - server.last_ok < ALIVE:
-            # It answers others of ours, so it has no room for a further connection: ejecting it would push
-            # its calls, and connections, onto the rest. Use what is open.
-            server.most_out, server.most_out_until = max(1, server.out), now + CONNECTIONS_FULL
-        elif status == Status.RESET and servers.lost_idle(attempt, now):
-            pass
         elif status in (Status.CONNECT_FAILED, Status.RESET):
-            self.eject(server, hard=True)
+            server.breaks += 1
+            lost = status == Status.RESET and servers.lost_idle(attempt, now)
+            if not lost and not servers.alive(server, now):
+                self.eject(server, hard=True)
+            elif status == Status.CONNECT_FAILED:
+                # It answers others of ours, so it has no room for a further connection: ejecting it would
+                # push its calls, and connections, onto the rest. Use what is open.
+                server.most_out, server.most_out_until = max(1, server.out), now + CONNECTIONS_FULL
+            failed = False  # nothing was answered: no sign of one that fails what it gets
         elif status == Status.TIMEOUT:
             servers.lost_idle(attempt, now)
             server.slow_streak += 1
@@ -891,6 +910,7 @@
             return
         server.probe_out = False
         if event.status == Status.OK:
+            self.servers.heard(server, self.now)
             server.fail_streak = 0
             self.servers.report(server, event.report, self.now)
             if server.ejected_until and self.now >= server.ejected_until:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -186,6 +186,42 @@
     run(test())
 
 
+def test_one_reset_connection_does_not_take_a_live_backend_out() -> None:
+    """It has just answered others. Four calls at once go to both backends; were one left, to the other."""
+
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            if seen.headers["x-call-id"].startswith("dead"):
+                writer.transport.abort()
+            if seen.headers["x-call-id"].startswith("hold"):
+                await release.wait()
+            writer.write(response(200, b"done"))
+
+        backends = {"s-1": Backend(behave), "s-2": Backend(behave)}
+        async with proxy(backends) as node:
+            callers = [await node.caller() for _ in range(4)]
+            for number in range(6):
+                for place, caller in enumerate(callers):
+                    caller.send("canje", f"{number:015x}{place}")
+                assert [(await caller.answer()).code for caller in callers] == [200] * 4
+            before = [backend.count for backend in backends.values()]
+            assert (await callers[0].call("canje", "dead" + "0" * 12)).code == 502
+            struck = next(b for b, count in zip(backends.values(), before, strict=True) if b.count > count)
+            count = struck.count
+            for number, caller in enumerate(callers):
+                caller.send("canje", f"hold{number:012x}", budget="5000m")
+            async with asyncio.timeout(PATIENCE):
+                while sum(backend.count for backend in backends.values()) < sum(before) + 5:
+                    await asyncio.sleep(0.001)
+            assert struck.count > count
+            release.set()
+            assert [(await caller.answer()).code for caller in callers] == [200] * 4
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     "text", ["", "x", "inflight=", "inflight=-1", "inflight=1e300", "inflight=nan", "inflight=inf",
              "inflight=1,inflight=9", "inflight=1,busy_reqs=9", "inflight=3,queue=-2", "inflight=7;queue=1"]
