A connection's fault is no sign of its server's pace, and what is known of that pace fades

Checked with load, own calls and the capacity ratio of each server each half second: a server whose ratio stood at 1.1 (the others 0.2 to 0.5) after a reset or two kept exactly that figure from 4.9 s to the end, for without calls it gets no samples. Ruled out: usable servers (all), reports (fresh, 3 a second), the crossing price (same for those used). Lines at fault: learn(), 'latency = MOST_LATENCIES' for every RESET; load_sum and latency_sum, which age by samples alone. Mend: a broken connection that is excused leaves the estimate alone; Servers.fade() in 30 s; PRIOR 8 for 3.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -63,8 +63,9 @@
 SUNK = 0.5  # added to ST's weight per tier above: work done there is lost by a refusal here
 POOL_LOCAL = 10  # servers of the own zone that an instance uses
 POOL = 16  # servers that an instance uses in all
-PRIOR = 3.0  # samples that the prior of a server's capacity weighs
+PRIOR = 8.0  # samples that the prior of a server's capacity weighs
 FORGET = 0.9  # weight of a server's older samples at each new one
+PACE_MEMORY = 30.0  # s in which they fade without new ones, so that a slow server is tried again
 PROBES_PER_CALL = 0.15  # probes per arriving call
 PROBES_LEAST = 0.3  # probes per s, so that an idle instance still knows its servers
 FIRST_PROBES = 8.0  # probes at the start, over all zones: an instance that knows no load follows the herd
@@ -490,6 +491,15 @@
             place_of += 1
         self.pool = pool
 
+    def fade(self, span: float) -> None:
+        """What is believed of a server that gets no calls must not keep it without calls. Guards against a
+        few slow answers, whatever their cause, that stay a server's last word. Harm: a slow server gets a
+        call now and then."""
+        share = math.exp(-span / PACE_MEMORY)
+        for server in self.pool:
+            server.load_sum *= share
+            server.latency_sum *= share
+
     def ramp(self, server: Server, now: float) -> float:
         """Share of its capacity that a server surely has: it warms no slower than evenly."""
         age = now - server.ramp_from
@@ -870,6 +880,10 @@
         if ok or status in (Status.ERROR, Status.FULL):
             servers.heard(server, now)
             servers.learn_failing(server, cls, not ok, now)
+        broken = status in (Status.CONNECT_FAILED, Status.RESET)
+        server.breaks += broken
+        lost = status == Status.RESET and servers.lost_idle(attempt, now)
+        excused = broken and (lost or servers.alive(server, now))
         if ok or (status == Status.TIMEOUT and not server.ejected_until):
             admission.observe_latency(elapsed)
             cls.mean.add(elapsed, 50)
@@ -890,7 +904,8 @@
         if not ok:
             # A fast-failing server looks idle: a failure counts as a slow answer.
             latency = MOST_LATENCIES
-        if status not in (Status.FULL, Status.CONNECT_FAILED):
+        # What was only the connection's fault tells nothing of its server's pace.
+        if status not in (Status.FULL, Status.CONNECT_FAILED) and not excused:
             latency = min(latency, MOST_LATENCIES)
             server.latency_sum = server.latency_sum * FORGET + latency
             server.load_sum = server.load_sum * FORGET + attempt.load + 1
@@ -905,10 +920,8 @@
                 server.trial = False
             elif server.ejections and not server.ejected_until:
                 server.ejections = 0
-        elif status in (Status.CONNECT_FAILED, Status.RESET):
-            server.breaks += 1
-            lost = status == Status.RESET and servers.lost_idle(attempt, now)
-            if not lost and not servers.alive(server, now):
+        elif broken:
+            if not excused:
                 self.eject(server, hard=True)
             elif status == Status.CONNECT_FAILED:
                 # It answers others of ours, so it has no room for a further connection: ejecting it would
@@ -970,6 +983,7 @@
         if admission.latency.count:
             servers.unit = max(admission.latency.value, 1e-3)
         servers.fill_tokens(now, span)
+        servers.fade(span)
         servers.idle_safe = min(self.settings.conn_idle, servers.idle_safe * (1 + span / IDLE_DOUBLES))
         self.probe(span)
         admission.set_cut()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -27,7 +27,7 @@
     Tenant,
     Watch,
 )
-from granitepoint.logic import CONNECTIONS_FULL, FAILING_MEMORY, RETRY_UNSEEN, Admission, Kind
+from granitepoint.logic import CONNECTIONS_FULL, FAILING_MEMORY, PACE_MEMORY, RETRY_UNSEEN, Admission, Kind
 
 
 def admission(window: float, latency: float, rate: float, worths: list[float], stage: int = 0) -> Admission:
@@ -462,6 +462,19 @@
     assert not sends(driver.settle(only_send(driver.arrive(2)), Status.ERROR))
 
 
+def test_a_connection_s_fault_leaves_the_server_s_pace_alone_and_old_samples_fade() -> None:
+    # Found there too: resets counted as 8 latencies; a server that got no calls kept its last word for 16 s.
+    driver = Driver(settings(), servers=entries(1))
+    driver.settle(only_send(driver.arrive(1, "once")), Status.OK)
+    server = driver.balancer.servers.known[1]
+    before = server.latency_sum, server.load_sum
+    driver.settle(only_send(driver.arrive(2, "once")), Status.RESET)
+    assert (server.latency_sum, server.load_sum) == before
+    driver.wait(PACE_MEMORY)
+    assert server.load_sum == pytest.approx(before[1] / 2.71828, rel=0.01)
+    assert server.latency_sum / server.load_sum == pytest.approx(before[0] / before[1])
+
+
 def test_calls_keep_to_open_connections_where_new_ones_are_slow() -> None:
     # Found in incident i513ea5: a third of the attempts got no connection while open ones stood idle.
     def second_pick(new_cost: float) -> int:
