A listed server that goes on refusing makes the proxy ask discovery again; two failed connects before a cap

Checked with the lists, ejections and usable servers of each proxy: n0 was told of none of the eight changes: its watch, begun at 1 s, gave no byte and ended after HOLD + PATIENCE at 25.1 s. Usable servers 4 -> 3 -> 2 -> 1, each ejected by its probes (503, then refused); three new ones were never heard of. The other proxy and two of the inner ones the same. Lines at fault: Balancer.watch(), which asks only where a watch has failed; nothing looks at what contradicts the list. Ruled out as a mend: a shorter HOLD_MS (a call costs discovery 15 to 80 lines; all proxies each 5 s could fill it). Mend: Balancer.doubt(): a trial of an ejected, listed server that is refused or answered by an error begins a new watch, at most each 8 s and spread over 2 s.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -85,12 +85,15 @@
 EJECT_SHARE = 0.34  # share of the pool that soft signs may eject: if more look ill, the cause lies elsewhere
 ALIVE = 1.0  # s since its last answer, of any kind, within which a server is not taken to be dead
 BREAKS = 3  # broken or refused connections in a row, with no answer between, after which it is all the same
+UNOPENED = 2  # failed connects, and none good between, after which a live server has no room for more
 CONNECTIONS_FULL = 5.0  # s for which a server without room gets no further connection
 ERROR_EXCESS = 0.35  # error share above the pool's that condemns a server
 FAILING_STEP = 0.3  # weight of the newest answer in the share of a class's calls that a server fails
 FAILING_MEMORY = 5.0  # s in which such a share fades, so that the server is tried again
 COLD_SHARE = 0.5  # share of the allowed multiple of a cold server's capacity that all instances may use
 PEAK_MEMORY = 60.0  # s, memory of an instance's highest send rate: long against a ramp
+DOUBT_SPREAD = 2.0  # s over which instances ask again where servers contradict the list: all see it at once
+DOUBT_SPACING = 8.0  # s since it asked or was told within which an instance does not doubt the list
 IDLE_LEAST = 0.2  # s; a connection used within it is not taken to be lost for lack of use
 IDLE_SHARE = 0.7  # share of the age at which an idle connection was lost that is still trusted
 IDLE_DOUBLES = 15.0  # s in which the trusted age doubles again
@@ -413,6 +416,7 @@
         self.slow_streak = 0
         self.used_at = -math.inf  # the last send or answer
         self.most_out, self.most_out_until = 0, 0.0  # while it has no room for more connections
+        self.unopened = 0  # connects that failed since one that served
         self.fail_streak = 0
 
 
@@ -691,6 +695,8 @@
         self.watching = not settings.ask_for_list
         self.watch_at = -1.0
         self.watch_fails = 0
+        self.told_at = 0.0  # the last list, or the start of a watch
+        self.doubt_at = math.inf  # when to ask although a watch is on
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         self.now = now
@@ -742,6 +748,7 @@
         else:
             if event.kind is not ListKind.SAVED:
                 self.watch_fails = 0
+                self.told_at, self.doubt_at = self.now, math.inf
             self.servers.take_list(event, self.now)
             self.admission.set_least(len(self.servers.known), self.settings.balancers)
 
@@ -915,6 +922,8 @@
         servers.errors.add(float(failed), 100)
         if ok:
             server.last_ok = now
+            if attempt.opened:
+                server.unopened = 0
             server.slow_streak = server.fail_streak = 0
             if server.trial:
                 server.trial = False
@@ -925,8 +934,10 @@
                 self.eject(server, hard=True)
             elif status == Status.CONNECT_FAILED:
                 # It answers others of ours, so it has no room for a further connection: ejecting it would
-                # push its calls, and connections, onto the rest. Use what is open.
-                server.most_out, server.most_out_until = max(1, server.out), now + CONNECTIONS_FULL
+                # push its calls, and connections, onto the rest. Use what is open. One failure may be chance.
+                server.unopened += 1
+                if server.unopened >= UNOPENED:
+                    server.most_out, server.most_out_until = max(1, server.out), now + CONNECTIONS_FULL
             failed = False  # nothing was answered: no sign of one that fails what it gets
         elif status == Status.TIMEOUT:
             servers.lost_idle(attempt, now)
@@ -960,6 +971,8 @@
         elif event.status != Status.FULL:
             server.fail_streak += 1
             if server.ejected_until:
+                if event.status in (Status.CONNECT_FAILED, Status.ERROR):
+                    self.doubt()
                 server.ejected_until = self.now + min(EJECT_LONGEST, EJECT_FIRST * 2**server.ejections)
                 server.ejections = min(server.ejections + 1, 6)
             elif server.fail_streak >= 2 and server.last_ok < self.now - self.servers.unit:
@@ -989,10 +1002,20 @@
         admission.set_cut()
 
     def watch(self) -> None:
-        if not self.watching and self.now >= self.watch_at:
+        if (not self.watching and self.now >= self.watch_at) or self.now >= self.doubt_at:
             self.watching = True
+            self.told_at, self.doubt_at = self.now, math.inf
             self.actions.append(Watch(True))
 
+    def doubt(self) -> None:
+        """A listed server that goes on refusing contradicts the list, and nothing was told for a while: the
+        watch may be held by what no longer answers. A new one tells at once what was missed. Guards against
+        watches that hang or are lost unseen, and lists that are late. Harm: where servers crash, each
+        instance that sees it asks once more in DOUBT_SPACING, spread out."""
+        if self.settings.ask_for_list and self.watching and math.isinf(self.doubt_at):
+            soonest = max(self.now, self.told_at + DOUBT_SPACING)
+            self.doubt_at = soonest + self.random.random() * DOUBT_SPREAD
+
     def watch_ages(self) -> None:
         """A hung server finishes nothing: the calls that are out tell by their age."""
         now = self.now
--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -13,6 +13,7 @@
     Fail,
     Gone,
     ListKind,
+    Probe,
     Probed,
     Refuse,
     Send,
@@ -232,6 +233,21 @@
     assert only_send(driver.arrive(1)).server == 1
 
 
+def test_a_listed_server_that_refuses_its_trials_makes_it_ask_again_but_seldom() -> None:
+    # Found in incident r2219cc: the watch was silent for 24 s while three of four servers were replaced.
+    driver = Driver(settings(ask_for_list=True, may_probe=True), servers=entries(1, 2))
+
+    def wait(span: float, status: Status) -> None:
+        for _ in range(round(span / 0.05)):
+            asked = [action for action in driver.wait(0.05) if isinstance(action, Probe)]
+            driver.feed(*[Probed(action.server, status, 0.001) for action in asked])
+
+    wait(15.0, Status.OK)
+    assert driver.said.count(Watch(True)) == 1
+    wait(20.0, Status.CONNECT_FAILED)
+    assert 2 <= driver.said.count(Watch(True)) - 1 <= 3
+
+
 def test_failed_watches_are_asked_again_within_the_ask_limit() -> None:
     # One site counts four seconds without asking as being told of every drain.
     driver = Driver(settings(ask_for_list=True, must_ask_within=4.0))
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -187,6 +187,36 @@
     run(test())
 
 
+def test_a_backend_that_contradicts_a_silent_watch_makes_the_proxy_ask_again() -> None:
+    """The first watch is taken and never answered, while a backend goes and another comes."""
+
+    async def test() -> None:
+        discovery = await Discovery().start()
+        gone, stays, comes = Backend(), Backend(), await Backend().start()
+        async with proxy({"s-1": gone, "s-2": stays}, discovery) as node:
+            async with asyncio.timeout(PATIENCE):
+                assert "from=1" in await discovery.asked.get()
+            await gone.stop()
+            caller = await node.caller()
+            async with asyncio.timeout(PATIENCE):
+                number = 0
+                while discovery.asked.empty():
+                    number += 1
+                    await caller.call("stock", f"{number:016x}")
+                    await asyncio.sleep(0.02)
+                assert "from=1" in await discovery.asked.get()
+            for _ in range(2):  # the first is taken by the silent connection
+                discovery.put(2, endpoint("s-1", gone.address, "Gone"), endpoint("s-3", comes.address))
+            async with asyncio.timeout(PATIENCE):
+                while not comes.count:
+                    number += 1
+                    await caller.call("stock", f"{number:016x}")
+                    await asyncio.sleep(0.02)
+        await comes.stop()
+
+    run(test())
+
+
 def test_a_late_answer_reaches_nobody() -> None:
     """A timed out attempt gives up its connection: its answer must not become that of the next call."""
 
