--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -4,23 +4,19 @@
 
 import argparse
 import asyncio
-import gc
 import logging
 import os
 import signal
 import sys
 import time
-from collections import Counter
 from typing import TYPE_CHECKING
 
 import uvloop
 
+from granitepoint.assembly import Proxy, Sparse, settle
 from granitepoint.net.config import Config, ConfigError, load, reread_discovery
-from granitepoint.net.driver import Driver
-from granitepoint.net.server import Server
 
 if TYPE_CHECKING:
-    from granitepoint.net.sources import Subsystem
     from granitepoint.operator import Operator
 
 log = logging.getLogger("granitepoint")
@@ -30,54 +26,22 @@
 KILL_SPARE = 0.7  # s that it waits beyond that
 SPARE = 0.4  # s before its SIGKILL by which all is answered
 WIND_DOWN = 1.0  # s before that in which each answer is the last on its connection
-DRAIN_STEP = 0.01  # s between looks whether all is answered
-LAST_BYTES = 1.0  # s for the last answers to be taken
-LOG_LINES = 20  # of one kind
-LOG_SPAN = 10.0  # s for which no more are written
 
 
-class Sparse(logging.Filter):
-    """A flood of bad input must not become a flood of lines."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.until = 0.0
-        self.lines: Counter[object] = Counter()
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        now = time.monotonic()
-        if now >= self.until:
-            self.until = now + LOG_SPAN
-            self.lines.clear()
-        self.lines[record.msg] += 1  # the template, not the text
-        return self.lines[record.msg] <= LOG_LINES
-
-
-async def drain(server: Server, driver: Driver) -> None:
+async def drain(proxy: Proxy) -> None:
     """Callers go on using a connection that stays open, and are served on it for as long as all can still
     be answered before the SIGKILL: their other proxies may be few, or restarting too. Then each answer closes
     its own, the rest close, and the process ends when nothing is owed any more."""
-    longest = max(cls.deadline for cls in driver.settings.classes)
+    longest = max(cls.deadline for cls in proxy.driver.settings.classes)
     answered_by = min(longest, LONGEST_WAIT) + KILL_SPARE - SPARE
-    driver.end_by = time.monotonic() + answered_by
+    proxy.driver.end_by = time.monotonic() + answered_by
     await asyncio.sleep(LAST_ACCEPT)
-    server.stop_listening()
+    proxy.server.stop_listening()
     await asyncio.sleep(max(0.0, answered_by - WIND_DOWN - LAST_ACCEPT))
-    server.draining = True
-    server.close_idle()
-    while driver.calls:
-        server.close_idle(partial=True)
-        await asyncio.sleep(DRAIN_STEP)
-    # All is answered; the last bytes may still be on their way to a slow peer.
-    server.close_idle(partial=True)
-    for _ in range(int(LAST_BYTES / DRAIN_STEP)):
-        if not server.connections:
-            return
-        await asyncio.sleep(DRAIN_STEP)
-    server.abort_leaving()
-
-
-def reload(driver: Driver, subsystems: list[Subsystem], operator_file: str | None) -> None:
+    await proxy.finish()
+
+
+def reload(proxy: Proxy, operator_file: str | None) -> None:
     """On SIGHUP: the discovery address, and of the operator's file what its subsystems say may change. A file
     that can't be used changes nothing."""
     try:
@@ -85,26 +49,9 @@
     except ConfigError as fault:
         log.error("reload: %s; all stays as it was", fault)
         return
-    log.info("reload: discovery is at %s:%d", *at)
-    driver.discovery.move(at)
-    for subsystem in subsystems:
-        assert operator_file is not None
-        try:
-            subsystem.reread(operator_file)
-        except ValueError as fault:  # an OperatorError, too
-            log.error("reload: %s; this part stays as it was", " | ".join(str(fault).splitlines()))
-
-
-def build_subsystems(operator: Operator | None, driver: Driver, config: Config) -> list[Subsystem]:
-    """What the operator's file turns on; nothing else is imported."""
-    subsystems: list[Subsystem] = []
-    if operator is not None and operator.membership is not None:
-        from granitepoint.membership.source import Membership
-
-        # Its lines are few, and say which source decided: docs/operators/ephemeral.md.
-        logging.getLogger("granitepoint.membership").setLevel(logging.INFO)
-        subsystems.append(Membership(operator.membership, driver, config))
-    return subsystems
+    proxy.move(at)
+    if operator_file is not None:
+        proxy.reread(operator_file)
 
 
 async def serve(config: Config, operator: Operator | None) -> None:
@@ -112,24 +59,14 @@
     term = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, term.set)
-    driver = Driver(config)
-    subsystems = build_subsystems(operator, driver, config)
-    server = Server(driver.effects, driver, config.sockets, config.memory_mb)
+    proxy = Proxy(config, operator.membership if operator is not None else None)
     file = operator.file if operator is not None else None
-    loop.add_signal_handler(signal.SIGHUP, reload, driver, subsystems, file)  # before it is ready, for good
-    driver.start()
-    for subsystem in subsystems:
-        subsystem.start()
-    await server.listen(*config.listen)
-    # What is alive now stays alive: it need not be looked at again and again in pauses that calls wait for.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(50_000, 20, 50)
+    loop.add_signal_handler(signal.SIGHUP, reload, proxy, file)  # before it is ready, for good
+    await proxy.start()
+    settle()
     await term.wait()
-    await drain(server, driver)
-    for subsystem in subsystems:
-        subsystem.stop()
-    driver.stop()
+    await drain(proxy)
+    proxy.stop()
 
 
 HELP = """\
--- /dev/null
+++ b/granitepoint/assembly.py
@@ -0,0 +1,130 @@
+"""Puts a proxy together: driver, listener and what the operator's file turns on; and takes it apart again.
+
+The one place that knows every part; `python -m granitepoint` makes one, a sidecar one for each tier that it
+calls. A part that is off is not imported.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from granitepoint.net.config import Config
+from granitepoint.net.driver import Driver
+from granitepoint.net.listing import Address
+from granitepoint.net.server import Server
+
+if TYPE_CHECKING:
+    from granitepoint.membership.register import Registrar
+    from granitepoint.net.sources import Subsystem
+    from granitepoint.operator import Membership, Registration
+
+log = logging.getLogger("granitepoint")
+
+DRAIN_STEP = 0.01  # s between looks whether all is answered
+LAST_BYTES = 1.0  # s for the last answers to be taken
+LOG_LINES = 20  # of one kind
+LOG_SPAN = 10.0  # s for which no more are written
+
+
+class Sparse(logging.Filter):
+    """A flood of bad input must not become a flood of lines."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.until = 0.0
+        self.lines: Counter[object] = Counter()
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        now = time.monotonic()
+        if now >= self.until:
+            self.until = now + LOG_SPAN
+            self.lines.clear()
+        self.lines[record.msg] += 1  # the template, not the text
+        return self.lines[record.msg] <= LOG_LINES
+
+
+class Proxy:
+    """One tier's proxy in this process: it takes calls at its listener and balances them over the tier."""
+
+    def __init__(self, config: Config, membership: Membership | None) -> None:
+        """Raises ConfigError where the list that it is to begin with can't be used."""
+        self.config = config
+        self.driver = Driver(config)
+        self.subsystems: list[Subsystem] = []
+        if membership is not None:
+            from granitepoint.membership.source import Membership as Source
+
+            # Its lines are few, and say which source decided: docs/operators/ephemeral.md.
+            logging.getLogger("granitepoint.membership").setLevel(logging.INFO)
+            self.subsystems.append(Source(membership, self.driver, config))
+        self.server = Server(
+            self.driver.effects, self.driver, config.sockets, config.memory_mb, self.driver.pages()
+        )
+
+    async def start(self) -> None:
+        """Raises OSError where it can't listen."""
+        self.driver.start()
+        for subsystem in self.subsystems:
+            subsystem.start()
+        await self.server.listen(*self.config.listen)
+
+    def move(self, discovery: Address) -> None:
+        log.info("reload: discovery is at %s:%d", *discovery)
+        self.driver.discovery.move(discovery)
+
+    def reread(self, operator_file: str) -> None:
+        """What may change of the operator's file. A part whose table can't be used stays as it was."""
+        for subsystem in self.subsystems:
+            try:
+                subsystem.reread(operator_file)
+            except ValueError as fault:  # an OperatorError, too
+                log.error("reload: %s; this part stays as it was", " | ".join(str(fault).splitlines()))
+
+    async def finish(self) -> None:
+        """Each answer from now on is the last on its connection; returns when nothing is owed any more."""
+        await wind_down(self.server, lambda: bool(self.driver.calls))
+
+    def stop(self) -> None:
+        for subsystem in self.subsystems:
+            subsystem.stop()
+        self.driver.stop()
+
+
+async def wind_down(server: Server, owes: Callable[[], bool]) -> None:
+    """The end of a listener: what it owes is answered, and the last bytes are given time to leave."""
+    server.draining = True
+    server.close_idle()
+    while owes():
+        server.close_idle(partial=True)
+        await asyncio.sleep(DRAIN_STEP)
+    # All is answered; the last bytes may still be on their way to a slow peer.
+    server.close_idle(partial=True)
+    for _ in range(int(LAST_BYTES / DRAIN_STEP)):
+        if not server.connections:
+            return
+        await asyncio.sleep(DRAIN_STEP)
+    server.abort_leaving()
+
+
+def registrar(membership: Membership, registration: Registration, since_ms: int) -> Registrar:
+    """Keeps this machine's server registered; not started yet."""
+    from random import Random
+
+    from granitepoint.membership.register import Registrar, node_of
+
+    node = node_of(registration, since_ms)
+    return Registrar(membership, node, Random(f"{node.name} {since_ms}"))
+
+
+def settle() -> None:
+    """What is alive now stays alive: it need not be looked at again and again in pauses that calls wait
+    for."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 50)
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -13,6 +13,8 @@
 from granitepoint.net.listing import Address, address
 from granitepoint.settings import read_settings
 
+LEAST_SOCKETS = 64  # descriptors with which a proxy can work
+
 
 class ConfigError(Exception):
     """The configuration can't be used; the message is one line."""
@@ -72,34 +74,38 @@
 def load(environ: Mapping[str, str]) -> Config:
     """Reads the file that EDGE_CONFIG names; the other variables override what it says."""
     try:
-        raw = _read_file(environ)
-        known = raw.get("known") or {}
-        limits = raw.get("limits") or {}
-        if not isinstance(known, dict) or not isinstance(limits, dict):
-            raise ValueError("known and limits must be objects")
-        soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        if soft == resource.RLIM_INFINITY:
-            soft = 1 << 20
-        sockets = min(int(limits.get("sockets", soft)), soft)
-        if sockets < 64:
-            raise ValueError(f"too few sockets: {sockets}")
-        memory_mb = float(limits.get("memory_mb", 192))
-        if not 0 < memory_mb < 1 << 30:
-            raise ValueError(f"no such memory: {memory_mb}")
-        return Config(
-            name=environ.get("EDGE_NAME") or str(raw.get("name", "")),
-            listen=address(environ.get("EDGE_LISTEN") or raw.get("listen")),
-            discovery=address(environ.get("EDGE_DISCOVERY") or raw.get("discovery")),
-            seed=_seed(raw.get("seed", 0)),
-            sockets=sockets,
-            memory_mb=memory_mb,
-            known=known,
-            settings=read_settings(flatten(raw["settings"])),
-        )
+        return read_config(_read_file(environ), environ)
     except (OSError, ValueError, TypeError, AttributeError, RecursionError) as fault:
         raise _error(fault) from None
 
 
+def read_config(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
+    """From the JSON's object. Raises ValueError, TypeError, AttributeError or RecursionError."""
+    known = raw.get("known") or {}
+    limits = raw.get("limits") or {}
+    if not isinstance(known, dict) or not isinstance(limits, dict):
+        raise ValueError("known and limits must be objects")
+    soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if soft == resource.RLIM_INFINITY:
+        soft = 1 << 20
+    sockets = min(int(limits.get("sockets", soft)), soft)
+    if sockets < LEAST_SOCKETS:
+        raise ValueError(f"too few sockets: {sockets}")
+    memory_mb = float(limits.get("memory_mb", 192))
+    if not 0 < memory_mb < 1 << 30:
+        raise ValueError(f"no such memory: {memory_mb}")
+    return Config(
+        name=environ.get("EDGE_NAME") or str(raw.get("name", "")),
+        listen=address(environ.get("EDGE_LISTEN") or raw.get("listen")),
+        discovery=address(environ.get("EDGE_DISCOVERY") or raw.get("discovery")),
+        seed=_seed(raw.get("seed", 0)),
+        sockets=sockets,
+        memory_mb=memory_mb,
+        known=known,
+        settings=read_settings(flatten(raw["settings"])),
+    )
+
+
 def reread_discovery(environ: Mapping[str, str]) -> Address:
     """The address of discovery as the file has it now. EDGE_DISCOVERY does not override it: a process keeps
     the variables it was started with, so a reload could never change anything."""
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -18,7 +18,7 @@
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import WALL_OFFSET, Discovery
 from granitepoint.net.listing import Listing, read_listing
-from granitepoint.net.server import Reply, Request
+from granitepoint.net.server import Page, Pages, Reply, Request
 from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, UPSTREAM_SHARE, Exchange, Upstreams
 
 log = logging.getLogger(__name__)
@@ -31,6 +31,7 @@
 MOST_FIGURE = 1e6  # of a report; more is no load, and would outweigh all other reports
 PROBE_TIMEOUT = 0.2  # s; a report that comes later is of no use
 DROPPED = HOP_BY_HOP | {b"x-load-report", b"x-rejected"}
+READY, NOT_READY = Page(200, b"ok\n"), Page(503, b"not ready\n")
 REPORT_FIELDS = {
     "inflight": "busy_reqs", "queue": "pending", "util": "cpu_share",
     "latency_ms": "svc_ms", "qps": "served_ps", "eps": "failed_ps",
@@ -176,8 +177,9 @@
         self._push(api.ServerList(api.ListKind.FAILED))
 
     # the callers' side
-    def ready(self) -> bool:
-        return self.upstreams.ready
+    def pages(self) -> Pages:
+        """Whether the proxy is ready, for who asks."""
+        return {b"/healthz": lambda: READY if self.upstreams.ready else NOT_READY}
 
     def opened(self, request: Request, reply: Reply) -> OpenCall | None:
         if request.id in self.ids:
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -7,9 +7,9 @@
 import re
 import time
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any, Protocol, cast
+from typing import Any, NamedTuple, Protocol, cast
 
 import httptools
 
@@ -76,7 +76,15 @@
 
     def left(self, call: Any) -> None: ...
 
-    def ready(self) -> bool: ...
+
+class Page(NamedTuple):
+    """What the proxy says of itself at a path, to a GET."""
+
+    code: int
+    body: bytes
+
+
+Pages = Mapping[bytes, Callable[[], Page]]  # by path
 
 
 class BadRequest(Exception):
@@ -206,7 +214,7 @@
         self.raw = 0  # bytes as they came, since the last whole request
         self.inside = False  # a request has begun to come
         self.head_done = False
-        self.waiting: deque[tuple[Request | BadRequest | None, bool]] = deque()
+        self.waiting: deque[tuple[Request | BadRequest | Page, bool]] = deque()
         self.call: object | None = None
         self.answering = False  # a request is open
         self.keep_alive = True
@@ -314,11 +322,13 @@
         parser = self.parser
         keep_alive = parser.should_keep_alive()
         method = parser.get_method()
-        request: Request | BadRequest | None = None  # None: asks whether the proxy is ready
+        request: Request | BadRequest | Page
         if parser.should_upgrade():
             request = BadRequest(400, "no upgrades")
             keep_alive = False
-        elif self.target.split(b"?", 1)[0] != b"/healthz" or method != b"GET":
+        elif method == b"GET" and (page := self.server.pages.get(self.target.split(b"?", 1)[0])):
+            request = page()
+        else:
             body = b"".join(self.body)
             try:
                 request = read_request(
@@ -335,15 +345,15 @@
             request, self.keep_alive = self.waiting.popleft()
             self.answering = True
             self.server.place(self, None)
-            if request is None:
-                ready = self.server.handler.ready()
-                self.answer(200 if ready else 503, NO_HEADERS, b"ok\n" if ready else b"not ready\n")
+            if isinstance(request, Page):
+                self.answer(request.code, NO_HEADERS, request.body)
             elif isinstance(request, BadRequest):
                 self.answer(request.code, NO_HEADERS, f"{request}\n".encode())
             elif self.extra:
                 # Never sent, so a refusal is harmless.
                 self.keep_alive = False
-                self.answer(503, ((b"retry-after", b"1"),), b"too many connections\n")
+                advice = ((b"retry-after", b"1"), *self.server.never_ran)
+                self.answer(503, advice, b"too many connections\n")
             else:
                 try:
                     call = self.server.handler.opened(request, self)
@@ -367,7 +377,8 @@
         last = not self.keep_alive or self.server.draining
         parts = [b"HTTP/1.1 %d %s\r\n" % (code, REASONS.get(code, b"Status"))]
         parts += [name + b": " + value + b"\r\n" for name, value in headers]
-        parts.append(b"content-length: %d\r\n" % len(body))
+        if code != 204 and code != 304:  # these end with their headers: RFC 9110 8.6, RFC 9112 6.3
+            parts.append(b"content-length: %d\r\n" % len(body))
         parts.append(b"connection: close\r\n\r\n" if last else b"\r\n")
         parts.append(body)
         transport.write(b"".join(parts))
@@ -412,13 +423,21 @@
     """The listener and the callers' connections.
 
     A connection without an open request stands in one table, by what it is waited for, the longest first.
+    `pages`: what it says of itself; `never_ran`: headers by which a refusal here says that nothing ran.
     """
 
     def __init__(
-        self, effects: Mapping[str, Effect], handler: Handler, sockets: int, memory_mb: float
+        self,
+        effects: Mapping[str, Effect],
+        handler: Handler,
+        sockets: int,
+        memory_mb: float,
+        pages: Pages,
+        never_ran: tuple[tuple[bytes, bytes], ...] = (),
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.effects, self.handler = effects, handler
+        self.pages, self.never_ran = pages, never_ran
         others = int(sockets * UPSTREAM_SHARE) + min(RESERVE, sockets // 10)
         by_memory = int(max(1.0, memory_mb - BASE_MEMORY) / CALLER_MEMORY)
         self.most_ever = max(8, min(sockets - others, by_memory))
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -12,7 +12,7 @@
 import pytest
 from netkit import PATIENCE, Backend, Caller, Proxy, Seen, next_call, proxy, run, serve_ok
 
-from granitepoint.__main__ import LOG_LINES, Sparse
+from granitepoint.assembly import LOG_LINES, Sparse
 from granitepoint.interface import Effect
 from granitepoint.net.server import ClientConnection, Server
 from rigs.callers import GRADES
@@ -266,10 +266,7 @@
 
             def left(self, call: Any) -> None: ...
 
-            def ready(self) -> bool:
-                return True
-
-        server = Server({"stock": Effect.REPEATABLE}, Handler(), 256, 64)
+        server = Server({"stock": Effect.REPEATABLE}, Handler(), 256, 64, {})
         port = await server.listen("127.0.0.1", 0)
         caller = Caller(*await asyncio.open_connection("127.0.0.1", port))
         assert (await caller.call("stock", "a" * 16)).code == 200
