Description: format 2, padron and ephemeral nodes by tier, features; attempts by class

write made files in which a keyed class that is sent again only when it never ran was treated as unsafe, so its requests with a key would have been refused as malformed: what a request looks like (forms) is told apart from how it is treated now. Attempts of a route were the highest of all routes; the module knows them by class. [[sidecar]] listen is inbound; tiers have their own padron and membership, read by the operator's schema; [features]; F309 between tiers is found. Owed here: the command migrate, tests of the new parts.

--- a/benchmarks/sidecar.py
+++ b/benchmarks/sidecar.py
@@ -155,7 +155,7 @@
         file = folder / f"app-{number:02d}.toml"
         file.write_text(
             f'{body}[[sidecar]]\nhost = "h-{number}"\nzone = "sala-{"abc"[number % 3]}"\ntier = "portal"\n'
-            f'listen = "10.0.0.{number + 4}:8081"\napplication = "127.0.0.1:9000"\n'
+            f'inbound = "10.0.0.{number + 4}:8081"\napplication = "127.0.0.1:9000"\n'
             'outbound.nucleo = "127.0.0.1:7001"\n'
         )
         found.append(str(file))
--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -75,10 +75,11 @@
     window: float = 0.0  # BY_KEY: for how long they do
     stream: bool = False
     aim_stretch: float = 0.0  # the aim grows by this multiple of the request's own work
+    attempts: int = 0  # of a request of the class, if fewer than of any; 0: as many
 
     def __post_init__(self) -> None:
         _positive(self, f"class {self.name} ", "aim", "deadline")
-        _not_negative(self, f"class {self.name} ", "worth", "window", "aim_stretch", "late_worth")
+        _not_negative(self, f"class {self.name} ", "worth", "window", "aim_stretch", "late_worth", "attempts")
         _check(self.late_worth <= 1, f"class {self.name} late_worth", self.late_worth)
         _check(self.group in ("all", "zone", "cell"), f"class {self.name} group", self.group)
 
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -174,12 +174,11 @@
         return None
 
     def may_send(self, call: Call, server: Server, now: float) -> bool:
-        settings = self.settings
         if call.ended or call.streaming or now >= call.deadline or server.state is not ServerState.SERVING:
             return False
         if not call.attempts:
             return True
-        if len(call.attempts) >= settings.max_attempts or (call.out and not settings.may_duplicate):
+        if len(call.attempts) >= call.cls.most_attempts or (call.out and not self.settings.may_duplicate):
             return False
         first = self.may_have_run(call)
         if first is None or call.cls.effect is Effect.REPEATABLE:
@@ -204,7 +203,7 @@
 
     def may_repeat(self, call: Call) -> bool:
         """Whether some further attempt could still be allowed."""
-        if call.ended or call.streaming or len(call.attempts) >= self.settings.max_attempts:
+        if call.ended or call.streaming or len(call.attempts) >= call.cls.most_attempts:
             return False
         return call.cls.effect is not Effect.ONCE or self.may_have_run(call) is None
 
@@ -260,8 +259,9 @@
 class Kind:
     """A class of requests with what was learned of it."""
 
-    def __init__(self, cls: RequestClass, stage: int) -> None:
+    def __init__(self, cls: RequestClass, stage: int, most_attempts: int) -> None:
         self.name = cls.name
+        self.most_attempts = min(cls.attempts or most_attempts, most_attempts)
         self.worth, self.aim, self.deadline, self.effect = cls.worth, cls.aim, cls.deadline, cls.effect
         self.group, self.window = cls.group, cls.window
         self.late_counts = cls.late_worth > 0
@@ -676,7 +676,7 @@
         self.random = Random(seed)
         self.actions: list[Action] = []
         self.gate = Obligations(settings, self.actions)
-        self.kinds = {cls.name: Kind(cls, settings.stage) for cls in settings.classes}
+        self.kinds = {cls.name: Kind(cls, settings.stage, settings.max_attempts) for cls in settings.classes}
         self.admission = Admission(settings.stage, self.random)
         self.servers = Servers(settings, self.random)
         self.quota = {t.name: t.quota_per_s / settings.balancers for t in settings.tenants}
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -9,12 +9,11 @@
 from pathlib import Path
 from typing import Any
 
-from granitepoint.interface import Settings
+from granitepoint.interface import Effect, Settings
+from granitepoint.net.limits import LEAST_SOCKETS
 from granitepoint.net.listing import Address, address
 from granitepoint.settings import read_settings
 
-LEAST_SOCKETS = 64  # descriptors with which a proxy can work
-
 
 class ConfigError(Exception):
     """The configuration can't be used; the message is one line."""
@@ -30,6 +29,7 @@
     memory_mb: float
     known: Mapping[str, Any]  # the list of backends as last held, in discovery's form
     settings: Settings
+    forms: Mapping[str, Effect]  # what requests of a class look like, where they are treated as another's
 
 
 def flatten(value: object, path: str = "", into: dict[str, str] | None = None) -> dict[str, str]:
@@ -103,6 +103,7 @@
         memory_mb=memory_mb,
         known=known,
         settings=read_settings(flatten(raw["settings"])),
+        forms={str(name): Effect(effect) for name, effect in (raw.get("forms") or {}).items()},
     )
 
 
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -17,9 +17,10 @@
 from granitepoint.logic import Balancer
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import WALL_OFFSET, Discovery
+from granitepoint.net.limits import UPSTREAM_SHARE
 from granitepoint.net.listing import Listing, read_listing
 from granitepoint.net.server import Page, Pages, Reply, Request
-from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, UPSTREAM_SHARE, Exchange, Upstreams
+from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, Exchange, Upstreams
 
 log = logging.getLogger(__name__)
 
@@ -72,7 +73,7 @@
     def __init__(self, config: Config) -> None:
         self.loop = asyncio.get_running_loop()
         self.config, self.settings = config, config.settings
-        self.effects = {cls.name: cls.effect for cls in self.settings.classes}
+        self.effects = {cls.name: config.forms.get(cls.name, cls.effect) for cls in self.settings.classes}
         self.deadlines = {cls.name: cls.deadline for cls in self.settings.classes}
         self.balancer = Balancer(self.settings, config.seed)
         self.upstreams = Upstreams(
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -14,7 +14,8 @@
 import httptools
 
 from granitepoint.interface import Effect
-from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, UPSTREAM_SHARE
+from granitepoint.net.limits import UPSTREAM_SHARE
+from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN
 
 log = logging.getLogger(__name__)
 
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -25,7 +25,6 @@
 LATE = 0.01  # s of delay of a timer after which the sockets are looked at first
 ONE_TURN = 0.001  # s; the loop reads its sockets before such a timer
 SETTLE = ONE_TURN  # s after an answer before its connection is used again: what else comes is seen first
-UPSTREAM_SHARE = 0.4  # of the descriptors that the process may hold, for connections to backends
 SWEEP = 1.0  # s between looks for idle connections
 OWN_FAULTS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 HOP_BY_HOP = frozenset(
--- a/granitepoint/operator/codes.py
+++ b/granitepoint/operator/codes.py
@@ -83,8 +83,8 @@
     Repeats are dropped by the nodes of one zone, and there is only one: the setting has no use, and
     hides that repeats are dropped by all.
 F309 key forgotten too soon
-    The window in which repeats are dropped is shorter than the time in which a keyed call may be
-    sent again.
+    An inner tier drops repeats of a keyed call for a shorter time than an outer one may send it
+    again: each time the inner one is called with the same key.
 F310 name given twice
     Two files give one name other meanings.
 """
--- a/granitepoint/operator/reader.py
+++ b/granitepoint/operator/reader.py
@@ -61,8 +61,8 @@
 
 
 def key(kind: type, text: str, default: Any = dataclasses.MISSING, check: Check | None = None) -> Any:
-    """A field of a table. `kind`: str, int, float, bool, tuple (of strings) or Duration. `text` says what to
-    write."""
+    """A field of a table. `kind`: str, int, float, bool, tuple (of strings), Duration or the dataclass of a
+    table within it. `text` says what to write."""
     return dataclasses.field(
         **({} if default is dataclasses.MISSING else {"default": default}),
         metadata={"kind": kind, "text": text, "check": check},
@@ -106,7 +106,11 @@
                 if field.default is dataclasses.MISSING and field.default_factory is dataclasses.MISSING:
                     self.wrong(path, "S103", f"[{name}] lacks {field.name}", f"write {field.name} = {text}")
                 continue
-            value, code, fault = _typed(field.metadata["kind"], raw[field.name])
+            kind = field.metadata["kind"]
+            if isinstance(kind, type) and dataclasses.is_dataclass(kind):  # a table within this one
+                values[field.name] = self.table(kind, raw[field.name], (*path, field.name))
+                continue
+            value, code, fault = _typed(kind, raw[field.name])
             check = field.metadata["check"]
             if fault is None and check is not None:
                 code, fault = "S105", check(value)
--- a/granitepoint/operator/schema.py
+++ b/granitepoint/operator/schema.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from granitepoint.operator.positions import Path
 from granitepoint.operator.reader import OperatorError, Reader, between, key, read_text
 
 MOST_SERVERS = 9  # of an ensemble
@@ -108,40 +109,48 @@
             reader.wrong((name,), "S102", f"unknown table or key {name}", f"leave it out; known are {known}")
         else:
             tables[name] = reader.table(cls, value, (name,))
-    _contradictions(reader, tables.get("membership"), tables.get("registration"))
+    membership = tables.get("membership")
+    membership_contradictions(reader, membership, ("membership",))
+    if tables.get("registration") is not None and (membership is not None or "membership" not in raw):
+        registration_contradictions(reader, membership, ("membership",), ("registration",))
     if reader.problems:
         raise OperatorError(reader.problems)
     return Operator(file, **tables)
 
 
-def _contradictions(reader: Reader, membership: object, registration: object) -> None:
-    if isinstance(membership, Membership):
-        if membership.connect_timeout >= membership.session_timeout:
-            reader.wrong(
-                ("membership", "connect_timeout"),
-                "S107",
-                "connect_timeout is not below session_timeout: sessions end before a second server is tried",
-                f"write a connect_timeout of at most {membership.session_timeout / 3:g}",
-            )
-        if membership.reread_jitter > 1.5:
-            reader.wrong(
-                ("membership", "reread_jitter"),
-                "S107",
-                "reread_jitter takes the 2 s in which a lost node must get its last call",
-                "write reread_jitter = 1.5 or less",
-            )
-    if isinstance(registration, Registration):
-        if membership is None and "membership" not in {path[0] for path in reader.places if path}:
-            reader.wrong(
-                ("registration",),
-                "S107",
-                "[registration] without [membership]: there is no service to register with",
-                "write a table [membership] with servers and path",
-            )
-        elif isinstance(membership, Membership) and membership.read_only:
-            reader.wrong(
-                ("membership", "read_only"),
-                "S107",
-                "read_only = true with [registration]: a read-only server takes no registration",
-                "write read_only = false",
-            )
+def membership_contradictions(reader: Reader, membership: object, path: Path) -> None:
+    """What a table [membership] at this path holds that can't all be so."""
+    if not isinstance(membership, Membership):
+        return
+    if membership.connect_timeout >= membership.session_timeout:
+        reader.wrong(
+            (*path, "connect_timeout"),
+            "S107",
+            "connect_timeout is not below session_timeout: sessions end before a second server is tried",
+            f"write a connect_timeout of at most {membership.session_timeout / 3:g}",
+        )
+    if membership.reread_jitter > 1.5:
+        reader.wrong(
+            (*path, "reread_jitter"),
+            "S107",
+            "reread_jitter takes the 2 s in which a lost node must get its last call",
+            "write reread_jitter = 1.5 or less",
+        )
+
+
+def registration_contradictions(reader: Reader, membership: object, of: Path, path: Path) -> None:
+    """What a table [registration] at this path and the [membership] at `of` can't both say."""
+    if membership is None:
+        reader.wrong(
+            path,
+            "S107",
+            f"[{'.'.join(path)}] without [{'.'.join(of)}]: there is no service to register with",
+            f"write a table [{'.'.join(of)}] with servers and path",
+        )
+    elif isinstance(membership, Membership) and membership.read_only:
+        reader.wrong(
+            (*of, "read_only"),
+            "S107",
+            f"read_only = true with [{'.'.join(path)}]: a read-only server takes no registration",
+            "write read_only = false",
+        )
--- a/granitepoint/settings.py
+++ b/granitepoint/settings.py
@@ -105,6 +105,7 @@
                 window=field_number(params, path + "window", 0.0),
                 stream=field_truth(params, path + "stream", False),
                 aim_stretch=field_number(params, path + "aim_stretch", 0.0),
+                attempts=field_integer_or(params, path + "attempts", 0),
             )
         )
     tenants = []
--- a/granitepoint/sidecar/description.py
+++ b/granitepoint/sidecar/description.py
@@ -16,9 +16,13 @@
 
 from granitepoint.operator.positions import Path, Place, place_of, positions
 from granitepoint.operator.reader import OperatorError, Problem, Reader, nearest, read_text
-from granitepoint.operator.schema import address_fault
+from granitepoint.operator.schema import (
+    address_fault,
+    membership_contradictions,
+    registration_contradictions,
+)
 from granitepoint.sidecar import fleet
-from granitepoint.sidecar.model import FORMAT, TABLES, Class, Description, Route, Sidecar, Top
+from granitepoint.sidecar.model import FORMAT, TABLES, Class, Description, Features, Route, Sidecar, Top
 
 MOST_FILES = 32  # of one description with all it includes
 MOST_DEPTH = 32  # of tables within tables; the format has 4
@@ -188,7 +192,7 @@
     """
     raw = layers.raw
     top_names = {entry.name for entry in fields(Top)}
-    known = top_names | set(TABLES) | {"defaults", "sidecar"}
+    known = top_names | set(TABLES) | {"defaults", "features", "sidecar"}
     for name in raw.keys() - known:
         layers.wrong((name,), "S102", f"unknown table or key {name}", nearest(name, known))
     top = layers.table(Top, {name: raw[name] for name in raw.keys() & top_names}, ())
@@ -196,6 +200,7 @@
         instead = "run migrate" if top.format < FORMAT else f"write format = {FORMAT}"
         layers.wrong(("format",), "C005", f"format {top.format}, and this program reads {FORMAT}", instead)
     found: dict[str, dict[str, Any]] = {}
+    features = layers.table(Features, raw.get("features", {}), ("features",))
     defaults = raw.get("defaults", {})
     if layers.table(Route, defaults, ("defaults",)) is None:
         defaults = {}
@@ -220,11 +225,20 @@
                 for key in defaults:
                     layers.origins.setdefault(("route", name, key), layers.origin(("defaults", key)))
     sidecars = list(_sidecars(layers, raw.get("sidecar", [])))
-    if top is None or any(not problem.warning for problem in layers.problems):
+    for name, tier in found["tier"].items():
+        membership_contradictions(layers, tier.membership, ("tier", name, "membership"))
+    for number, sidecar in enumerate(sidecars):
+        if sidecar.registration is not None and sidecar.tier in found["tier"]:
+            at = ("tier", sidecar.tier, "membership")
+            membership = found["tier"][sidecar.tier].membership
+            here = ("sidecar", str(number), "registration")
+            registration_contradictions(layers, membership, at, here)
+    if top is None or features is None or any(not problem.warning for problem in layers.problems):
         return None
     description = Description(
-        layers.file, top, found["class"], found["route"], found["tier"], found["tenant"], tuple(sidecars)
-    )
+        layers.file, top, found["class"], found["route"], found["tier"], found["tenant"], tuple(sidecars),
+        features,
+    )  # fmt: skip
     for finding in fleet.check(description):
         layers.wrong(finding.path, finding.code, finding.text, finding.instead)
     return description
--- a/granitepoint/sidecar/explain.py
+++ b/granitepoint/sidecar/explain.py
@@ -10,7 +10,7 @@
 
 from granitepoint.operator.reader import Duration
 from granitepoint.sidecar import rulemodel
-from granitepoint.sidecar.model import NAME, TABLES, Class, Description, Route, Sidecar, Tier, Top
+from granitepoint.sidecar.model import NAME, TABLES, Class, Description, Features, Route, Sidecar, Tier, Top
 
 KINDS: dict[type, dict[str, Any]] = {
     str: {"type": "string"},
@@ -25,9 +25,14 @@
 
 def table_schema(cls: type) -> dict[str, Any]:
     """JSON Schema of one table, from the same fields that the reader reads."""
-    properties, required = {}, []
+    properties: dict[str, Any] = {}
+    required = []
     for entry in dataclasses.fields(cls):
-        kind = dict(KINDS[entry.metadata["kind"]])
+        inner: type = entry.metadata["kind"]
+        if dataclasses.is_dataclass(inner):
+            properties[entry.name] = table_schema(inner)
+            continue
+        kind = dict(KINDS[inner])
         if entry.metadata["text"]:
             kind["description"] = f"for example {entry.metadata['text']}"
         properties[entry.name] = kind
@@ -49,6 +54,7 @@
             "additionalProperties": entry,
         }
     whole["properties"]["defaults"] = table_schema(Route)
+    whole["properties"]["features"] = table_schema(Features)
     whole["properties"]["sidecar"] = {"type": "array", "items": table_schema(Sidecar)}
     return {"$schema": "https://json-schema.org/draft/2020-12/schema", "title": "willowwing", **whole}
 
@@ -57,6 +63,8 @@
     """Each value in force, defaults among them, with its path. Times in seconds."""
     for entry in dataclasses.fields(Top):
         yield (entry.name,), getattr(description.top, entry.name)
+    for entry in dataclasses.fields(Features):
+        yield ("features", entry.name), getattr(description.features, entry.name)
     groups: list[tuple[str, Mapping[str, Any]]] = [
         ("class", description.classes),
         ("route", description.routes),
@@ -66,8 +74,16 @@
     ]
     for table, entries in groups:
         for name, value in entries.items():
-            for entry in dataclasses.fields(value):
-                yield (table, name, entry.name), getattr(value, entry.name)
+            yield from _effective(value, (table, name))
+
+
+def _effective(value: Any, path: tuple[str, ...]) -> Iterator[tuple[tuple[str, ...], Any]]:
+    for entry in dataclasses.fields(value):
+        inner = getattr(value, entry.name)
+        if dataclasses.is_dataclass(inner):
+            yield from _effective(inner, (*path, entry.name))
+        elif inner is not None:
+            yield (*path, entry.name), inner
 
 
 def behaviour(cls: Class, route: Route) -> dict[str, Any]:
@@ -101,6 +117,9 @@
         "zones": ", ".join(tier.zones),
         "classes": ", ".join(tier.classes),
         "calls": ", ".join(tier.calls) or "nothing",
+        "nodes are told by": " and ".join(
+            ["the padron", *(["ephemeral nodes"] if tier.membership is not None else [])]
+        ),
     }
 
 
--- a/granitepoint/sidecar/fleet.py
+++ b/granitepoint/sidecar/fleet.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+from granitepoint.net.limits import LEAST_SOCKETS, UPSTREAM_SHARE
 from granitepoint.operator.positions import Path
 from granitepoint.sidecar import rulemodel
 from granitepoint.sidecar.model import Description, Sidecar, is_any, name_fault
@@ -43,6 +44,7 @@
     yield from _same_names(descriptions)
     yield from _rings(descriptions)
     yield from _multiplied(descriptions)
+    yield from _windows(descriptions)
 
 
 def _names(d: Description) -> Iterator[Finding]:
@@ -91,7 +93,23 @@
         if called not in sidecar.outbound:
             yield Finding(d.file, path, "S103", f"{sidecar.tier} calls {called}, and no listener is for it",
                           f'write {called} = "127.0.0.1:PORT" in its outbound')  # fmt: skip
+    share = sidecar.sockets // (len(sidecar.outbound) + 1)
+    if share < LEAST_SOCKETS:
+        least = LEAST_SOCKETS * (len(sidecar.outbound) + 1)
+        yield Finding(d.file, (*path, "sockets"), "S107",
+                      f"{sidecar.sockets} descriptors leave {share} for each listener, which needs "
+                      f"{LEAST_SOCKETS}", f"write sockets = {least} or more")  # fmt: skip
+    most = int(share * UPSTREAM_SHARE)
+    if sidecar.slots > most:
+        yield Finding(d.file, (*path, "slots"), "S107",
+                      f"{sidecar.slots} calls at a time need as many connections to the application, and "
+                      f"{sidecar.sockets} descriptors leave {most}",
+                      f"write slots = {most}, or more sockets")  # fmt: skip
     for called in sidecar.outbound:
+        if called in d.tiers and not d.padron(called):
+            instead = f'write padron = "HOST:PORT" in [tier.{called}], or before the first table'
+            yield Finding(d.file, (*path, "outbound", called), "S103",
+                          f"nobody tells the nodes of {called}: there is no padron", instead)  # fmt: skip
         if called not in tier.calls:
             yield Finding(d.file, (*path, "outbound", called), "S107", f"{sidecar.tier} never calls {called}",
                           f"take it out, or name {called} in the tier's `calls`")  # fmt: skip
@@ -170,7 +188,7 @@
     for d in descriptions:
         for number, sidecar in enumerate(d.sidecars):
             here: Path = ("sidecar", str(number))
-            wanted = [((*here, "listen"), sidecar.listen, "its inbound listener")]
+            wanted = [((*here, "inbound"), sidecar.inbound, "its inbound listener")]
             for tier, at in sidecar.outbound.items():
                 wanted.append(((*here, "outbound", tier), at, f"its listener for {tier}"))
             wanted.append(((*here, "application"), sidecar.application, "its application"))
@@ -222,6 +240,47 @@
                               f"{other.file}", "give it one deadline; budgets shorten it inside")  # fmt: skip
 
 
+def _windows(descriptions: list[Description]) -> Iterator[Finding]:
+    """An outer tier sends a keyed call again for as long as its route allows; each time its application calls
+    the inner tier with the same key, whose nodes must still know it then.
+    """
+    calls = _calls(descriptions)
+    owners = {name: d for d in descriptions for name in d.tiers}
+    told = set()
+    for outer in descriptions:
+        for start, tier in outer.tiers.items():
+            for name in tier.classes:
+                cls, route = outer.classes.get(name), outer.routes.get(name)
+                if cls is None or route is None or route.retry != "by-key" or route.attempts < 2:
+                    continue
+                latest = min(route.retry_for, cls.deadline)
+                for called in _below(calls, start):
+                    inner = owners.get(called)
+                    known = inner.classes.get(name) if inner is not None else None
+                    if inner is None or known is None or name not in inner.tiers[called].classes:
+                        continue
+                    if inner is outer:  # rule 2 tells it
+                        continue
+                    if known.effect == "by-key" and known.window < latest and (inner.file, name) not in told:
+                        told.add((inner.file, name))
+                        yield Finding(inner.file, ("class", name, "window"), "F309",
+                                      f"{called} drops repeats of {name} for {known.window:g} s, and {start} "
+                                      f"({outer.file}) sends it again for {latest:g} s",
+                                      f'write window = "{latest:g}s" or more')  # fmt: skip
+
+
+def _below(calls: dict[str, list[tuple[str, Description]]], start: str) -> set[str]:
+    """All tiers that a call to this one may reach."""
+    found: set[str] = set()
+    open_ones = [start]
+    while open_ones:
+        for called, _ in calls.get(open_ones.pop(), ()):
+            if called not in found:
+                found.add(called)
+                open_ones.append(called)
+    return found
+
+
 def _calls(descriptions: Iterable[Description]) -> dict[str, list[tuple[str, Description]]]:
     calls: dict[str, list[tuple[str, Description]]] = defaultdict(list)
     for d in descriptions:
--- /dev/null
+++ b/granitepoint/sidecar/migrate.py
@@ -0,0 +1,66 @@
+"""Brings a description of an older format up to date, line by line: comments and order stay. Pure.
+
+Each step goes from one format to the next. A file without `format` (an include, an overlay) is taken for the
+oldest that it can be.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any
+
+from granitepoint.operator.positions import Path, Place, positions
+from granitepoint.operator.reader import Problem
+from granitepoint.sidecar.model import FORMAT
+
+Lines = list[str]
+Step = Callable[[str, Lines, Mapping[str, Any]], Iterator[Problem]]
+
+
+def _rename(file: str, lines: Lines, place: Place, old: str, new: str) -> Problem | None:
+    """Renames the key that stands there, quoted or not; what can't be told apart is left to a hand."""
+    line = lines[place.line - 1]
+    before, rest = line[: place.column - 1], line[place.column - 1 :]
+    found = re.match(rf"""({old}|"{old}"|'{old}')(?=\s*[=.])""", rest)
+    if found is None:
+        text = f"{old} is called {new} by now, and can't be renamed by a program here"
+        return Problem(file, place.line, "C005", text, f"write {new} in place of {old}", place.column)
+    lines[place.line - 1] = before + new + rest[found.end() :]
+    return None
+
+
+def inbound(file: str, lines: Lines, raw: Mapping[str, Any]) -> Iterator[Problem]:
+    """1 to 2: [[sidecar]] `listen` is `inbound`, beside `outbound`."""
+    places = positions("".join(lines))
+    sidecars = raw.get("sidecar", [])
+    for number, sidecar in enumerate(sidecars if isinstance(sidecars, list) else []):
+        if isinstance(sidecar, Mapping) and "listen" in sidecar:
+            path: Path = ("sidecar", str(number), "listen")
+            place = places.get(path) or places.get(path[:-1]) or places.get(path[:1], Place(1, 1))
+            problem = _rename(file, lines, place, "listen", "inbound")
+            if problem is not None:
+                yield problem
+
+
+STEPS: dict[int, Step] = {1: inbound}
+
+
+def migrate(file: str, text: str) -> tuple[str, list[Problem]]:
+    """The text in this program's format; with problems, it is the text as it was. Raises
+    tomllib.TOMLDecodeError, a ValueError."""
+    raw = tomllib.loads(text)
+    version = raw.get("format", min(STEPS))
+    if type(version) is not int or not min(STEPS) <= version <= FORMAT:
+        place = positions(text).get(("format",), Place(1, 1))
+        said = f"format {version!r} is none that this program knows"
+        return text, [Problem(file, place.line, "C005", said, f"write format = {FORMAT}", place.column)]
+    lines = text.splitlines(keepends=True)
+    problems: list[Problem] = []
+    for step in range(version, FORMAT):
+        problems += STEPS[step](file, lines, raw)
+    if "format" in raw and version != FORMAT:
+        line = positions(text)["format",].line - 1
+        lines[line] = re.sub(rf"=(\s*){version}\b", rf"=\g<1>{FORMAT}", lines[line], count=1)
+    return (text, problems) if problems else ("".join(lines), [])
--- a/granitepoint/sidecar/model.py
+++ b/granitepoint/sidecar/model.py
@@ -12,12 +12,13 @@
 from dataclasses import dataclass, field
 
 from granitepoint.operator.reader import Duration, between, key
-from granitepoint.operator.schema import address_fault
+from granitepoint.operator.schema import Membership, Registration, address_fault
 
-FORMAT = 1
+FORMAT = 2
 NAME = re.compile(r"[a-z][a-z0-9_-]{0,62}")
 EFFECTS = ("repeatable", "by-key", "once")
 GROUPS = ("zone", "cell", "all")
+REPORTS = ("probe", "answer", "none")
 RETRIES = ("never", "never-ran", "by-key", "always")
 
 
@@ -42,6 +43,15 @@
     return fault or ("names one thing twice" if len(set(value)) != len(value) else None)
 
 
+def _address_or_none(value: str) -> str | None:
+    return address_fault(value) if value else None
+
+
+def _path(value: str) -> str | None:
+    good = value.startswith("/") and value.isascii() and value.isprintable() and " " not in value
+    return None if good else 'must be a path such as "/healthz"'
+
+
 def is_any(host: str) -> bool:
     """Whether the address stands for all of a host's: 0.0.0.0 and [::]."""
     try:
@@ -90,6 +100,10 @@
     cold_for: float = key(Duration, '"24s"', 24.0, between(0, 3600))
     survives: float = key(float, "3.0", 3.0, between(1, 1000))
     push: float = key(float, "2.0", 2.0, between(0.01, 1000))
+    # Where a sidecar learns of its nodes: the padron (this one, else the description's), and beside it
+    # ephemeral nodes, in the terms of the operator's file.
+    padron: str = key(str, '"10.2.0.1:8500"', "", _address_or_none)
+    membership: Membership | None = key(Membership, "", None)
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,15 +116,35 @@
 
 @dataclass(frozen=True, slots=True)
 class Sidecar:
-    """[[sidecar]]: one beside each application. `outbound`: a listener for each tier that it calls."""
+    """[[sidecar]]: one beside each application. `inbound`: its listener before the application, which it asks
+    at `health` whether it can work and gives `slots` calls at a time, while `waiting` more may wait;
+    `outbound`: a listener for each tier that it calls, on which the application calls it.
+    """
 
     host: str = key(str, '"h-1"', check=name_fault)
     zone: str = key(str, '"sala-a"', check=name_fault)
     tier: str = key(str, '"portal"', check=name_fault)
-    listen: str = key(str, '"10.0.0.4:8081"', check=address_fault)
+    inbound: str = key(str, '"10.0.0.4:8081"', check=address_fault)
     application: str = key(str, '"127.0.0.1:9000"', check=address_fault)
+    health: str = key(str, '"/healthz"', "/healthz", _path)
+    slots: int = key(int, "64", 64, between(1, 10_000))
+    waiting: int = key(int, "128", 128, between(0, 100_000))
     per_node: int = key(int, "1", 1, between(1, 10_000))
+    sockets: int = key(int, "1024", 1024, between(64, 1 << 20))
+    memory_mb: int = key(int, "192", 192, between(32, 1 << 20))
     outbound: dict[str, str] = field(default_factory=dict, metadata={"kind": dict, "text": "", "check": None})
+    registration: Registration | None = key(Registration, "", None)
+
+
+@dataclass(frozen=True, slots=True)
+class Features:
+    """[features]: what the sidecars use of what the nodes and the platform offer."""
+
+    probes: bool = key(bool, "true", True)
+    load_reports: str = key(str, '"probe"', "probe", one_of(REPORTS))  # type: ignore[arg-type]
+    cancel: bool = key(bool, "true", True)
+    retry_after: bool = key(bool, "true", True)
+    warm_up: bool = key(bool, "true", True)
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,7 +155,7 @@
     application: str = key(str, '"canjes"', check=name_fault)
     include: tuple[str, ...] = key(tuple, '["base.toml"]', ())
     variables: tuple[str, ...] = key(tuple, '["SALA"]', ())
-    padron: str = key(str, '"10.2.0.1:8500"', "", lambda value: address_fault(value) if value else None)
+    padron: str = key(str, '"10.2.0.1:8500"', "", _address_or_none)
     attempts_over_tiers: int = key(int, "12", 12, between(1, 10_000))
 
 
@@ -139,3 +173,8 @@
     tiers: dict[str, Tier]
     tenants: dict[str, Tenant]
     sidecars: tuple[Sidecar, ...]
+    features: Features
+
+    def padron(self, tier: str) -> str:
+        """Where the nodes of a tier are asked for."""
+        return self.tiers[tier].padron or self.top.padron
--- a/granitepoint/sidecar/platform.py
+++ b/granitepoint/sidecar/platform.py
@@ -20,7 +20,7 @@
 from granitepoint.sidecar.model import Class, Description, Route
 
 TOP = frozenset(
-    "name listen discovery seed limits peer_listen peers peers_all known settings written".split()
+    "name listen discovery seed limits peer_listen peers peers_all known settings written forms".split()
 )
 TOKEN = re.compile(r'\s*("(?:[^"\\]|\\.)*"|[{}\[\],:]|[^\s{}\[\],:"]+)')
 RETRIES = {"repeatable": "always", "by_key": "by-key", "once": "never-ran"}
--- a/granitepoint/sidecar/write.py
+++ b/granitepoint/sidecar/write.py
@@ -1,5 +1,5 @@
-"""Writes what a description says: for each sidecar and tier that it calls, the platform's JSON and a unit
-file.
+"""Writes what a description says: for each sidecar a unit, and for each tier that it calls the platform's
+JSON, the operator's file and a unit, for who runs a plain proxy for each tier instead of the sidecar.
 
 The same bytes for the same input. The folder changes as a whole or not at all: it is made anew beside the old
 one and takes its place. A file that was edited by hand (its digest says so), one that was not written here
@@ -18,28 +18,52 @@
 
 from granitepoint.operator.reader import Problem
 from granitepoint.sidecar.model import Description, Route, Sidecar
+from granitepoint.sidecar.toml import table
 
 MARK = "written"
-EFFECTS = {"never": "once", "never-ran": "once", "by-key": "by_key", "always": "repeatable"}
+FORMS = {"repeatable": "repeatable", "by-key": "by_key", "once": "once"}
+# How a call is treated follows from its route; what it looks like (method, key) from its class.
+TREATMENTS = {"never": "once", "never-ran": "once", "by-key": "by_key", "always": "repeatable"}
 CONNECT_TIMEOUT, CONN_IDLE = 0.25, 15.0  # s
 QUANTUM = 0.005  # s
+MOST_HELD = 4000  # calls that one listener holds
+REPORTS = {"probe": "on_probe", "answer": "inline", "none": "off"}
 
 
 def files(description: Description) -> dict[str, bytes]:
     """Relative path and content of all that is written, by path."""
     found: dict[str, bytes] = {}
-    callers = {called: 0 for tier in description.tiers.values() for called in tier.calls}
     for sidecar in description.sidecars:
+        home = f"{sidecar.host}/{sidecar.tier}"
+        plain = []
         for called in sorted(sidecar.outbound):
-            stem = f"{sidecar.host}/{sidecar.tier}-{called}"
-            body = platform(description, sidecar, called, callers[called])
-            callers[called] += 1
-            found[f"{stem}.json"] = marked(body)
-            found[f"{stem}.service"] = unit(sidecar, called, stem)
+            stem = f"{home}-{called}"
+            plain.append(f"willowwing-{sidecar.tier}-{called}.service")
+            found[f"{stem}.json"] = marked(platform(description, sidecar, called))
+            membership = description.tiers[called].membership
+            if membership is not None:
+                found[f"{stem}.operator.toml"] = headed(toml_tables(membership=membership))
+            found[f"{stem}.service"] = headed(unit(sidecar, called, stem, membership is not None))
+        membership = description.tiers[sidecar.tier].membership
+        if sidecar.registration is not None and membership is not None:
+            tables = toml_tables(membership=membership, registration=sidecar.registration)
+            found[f"{home}.operator.toml"] = headed(tables)
+        found[f"{home}.service"] = headed(sidecar_unit(description, sidecar, plain))
     return dict(sorted(found.items()))
 
 
-def platform(description: Description, sidecar: Sidecar, called: str, number: int) -> dict[str, Any]:
+def number_of(description: Description, sidecar: Sidecar, called: str) -> tuple[int, int]:
+    """The sidecar's number among those that call the tier, and how many these are."""
+    callers = [other for other in description.sidecars if called in other.outbound]
+    return callers.index(sidecar), len(callers)
+
+
+def toml_tables(**tables: Any) -> bytes:
+    lines = [line for name, value in tables.items() for line in table(value, f"[{name}]")]
+    return "\n".join(lines).encode()
+
+
+def platform(description: Description, sidecar: Sidecar, called: str) -> dict[str, Any]:
     """The platform's configuration (DEPLOY) of the sidecar's proxy towards one tier."""
     tier = description.tiers[called]
     names = [name for name in tier.classes if name in description.classes]
@@ -48,21 +72,25 @@
     grades = []
     for name in names:
         cls, route = description.classes[name], routes[name]
-        effect = EFFECTS[route.retry]
+        effect = TREATMENTS[route.retry]
         grade: dict[str, Any] = {
             "name": name, "value": cls.worth, "objective": cls.aim, "deadline": cls.deadline, "effect": effect
         }  # fmt: skip
+        grade["attempts"] = 1 if route.retry == "never" else route.attempts
         if effect == "by_key":
             grade |= {"group": route.retry_within, "window": min(route.retry_for, cls.window)}
         grades.append(grade)
-    sidecars = sum(called in other.outbound for other in description.sidecars)
+    number, sidecars = number_of(description, sidecar, called)
+    features = description.features
     return {
         "name": f"{sidecar.host}-{sidecar.tier}-{called}",
         "listen": sidecar.outbound[called],
-        "discovery": description.top.padron,
+        "discovery": description.padron(called),
         "seed": hashlib.sha256(f"{sidecar.host} {sidecar.tier} {called}".encode()).hexdigest()[:16],
+        "forms": {name: FORMS[description.classes[name].effect] for name in names},
+        "limits": {"memory_mb": sidecar.memory_mb, "sockets": sidecar.sockets},
         "settings": {
-            "balancers": max(1, sidecars),
+            "balancers": sidecars,
             "me": number,
             "stage": order.index(called),
             "stages": order,
@@ -75,14 +103,16 @@
                 {"name": name, "quota_rps": tenant.quota_per_s, "portion": tenant.share}
                 for name, tenant in description.tenants.items()
             ],
+            "report": {"names": ["busy_reqs", "pending"], "via": REPORTS[features.load_reports]},
             "policy_limits": {
                 "send_cap": max((route.attempts for route in routes.values()), default=1),
-                "may_duplicate": any(route.hedge for route in routes.values()),
-                "may_cancel": True,
-                "probes": True,
+                "may_duplicate": False,
+                "may_cancel": features.cancel,
+                "probes": features.probes,
+                "most_held": MOST_HELD,
                 "conn_idle": CONN_IDLE,
                 "connect_timeout": CONNECT_TIMEOUT,
-                "retry_after": True,
+                "retry_after": features.retry_after,
                 "max_retry_after": 2.0,
             },
             "contract": {
@@ -108,25 +138,46 @@
     return canonical({MARK: mark, **body}) + b"\n"
 
 
-def unit(sidecar: Sidecar, called: str, stem: str) -> bytes:
-    """A systemd unit, as a file only: nothing installs it. `%h`-free, so that it says where it looks."""
-    body = (
-        "[Unit]\n"
-        f"Description=willowwing sidecar of {sidecar.tier} on {sidecar.host}, towards {called}\n"
-        "After=network.target\n\n"
-        "[Service]\n"
-        f"Environment=EDGE_CONFIG=/etc/willowwing/{stem}.json\n"
-        "ExecStart=/opt/willowwing/.venv/bin/python -m granitepoint\n"
+def headed(body: bytes) -> bytes:
+    """With a digest of it in a comment at its head."""
+    return b"# written by granitepoint.sidecar, sha256 %s\n%s" % (digest(body), body)
+
+
+def digest(body: bytes) -> bytes:
+    return hashlib.sha256(body).hexdigest().encode()
+
+
+def _service(sidecar: Sidecar, title: str, more: str, command: str, stop_after: float) -> bytes:
+    """A systemd unit (systemd.service(5)), as a file only: nothing installs it."""
+    return (
+        f"[Unit]\nDescription=willowwing {title}\nAfter=network.target\n{more}\n"
+        f"[Service]\n{command}"
         "ExecReload=/bin/kill -HUP $MAINPID\n"
-        "Restart=always\nRestartSec=1\nKillSignal=SIGTERM\nLimitNOFILE=1024\nMemoryMax=192M\n\n"
+        "Restart=always\nRestartSec=1\nKillSignal=SIGTERM\n"
+        f"TimeoutStopSec={stop_after:g}\nLimitNOFILE={sidecar.sockets}\nMemoryMax={sidecar.memory_mb}M\n\n"
         "[Install]\nWantedBy=multi-user.target\n"
     ).encode()
-    return (
-        b"# written by granitepoint.sidecar, sha256 "
-        + hashlib.sha256(body).hexdigest().encode()
-        + b"\n"
-        + body
+
+
+def unit(sidecar: Sidecar, called: str, stem: str, operator: bool) -> bytes:
+    """Of a plain proxy towards one tier."""
+    more = f" --operator /etc/willowwing/{stem}.operator.toml" if operator else ""
+    command = (
+        f"Environment=EDGE_CONFIG=/etc/willowwing/{stem}.json\n"
+        f"ExecStart=/opt/willowwing/.venv/bin/python -m granitepoint{more}\n"
     )
+    return _service(sidecar, f"proxy of {sidecar.tier} on {sidecar.host}, towards {called}", "", command, 5.0)
+
+
+def sidecar_unit(description: Description, sidecar: Sidecar, plain: list[str]) -> bytes:
+    """Of the sidecar as one process, in place of the plain proxies: their ports are its own."""
+    command = (
+        "ExecStart=/opt/willowwing/.venv/bin/python -m granitepoint.sidecar run "
+        f"/etc/willowwing/{description.top.application}.toml --host {sidecar.host} --tier {sidecar.tier}\n"
+    )
+    conflicts = f"Conflicts={' '.join(plain)}\n" if plain else ""
+    title = f"sidecar of {sidecar.tier} on {sidecar.host}"
+    return _service(sidecar, title, conflicts, command, description.tiers[sidecar.tier].stop_after)
 
 
 def edited(content: bytes, name: str) -> bool:
@@ -139,9 +190,7 @@
         except (ValueError, KeyError, TypeError, AttributeError):
             return True
     head, _, body = content.partition(b"\n")
-    return (
-        not head.startswith(b"# written by ") or head.split()[-1] != hashlib.sha256(body).hexdigest().encode()
-    )
+    return not head.startswith(b"# written by ") or head.split()[-1] != digest(body)
 
 
 def refusals(folder: Path) -> list[Problem]:
--- a/tests/sidecar/test_explain.py
+++ b/tests/sidecar/test_explain.py
@@ -43,7 +43,7 @@
     said = capsys.readouterr().out
     assert f"class.stock.worth = 4.0  # {tmp_path}/app.prod.toml:2\n" in said
     assert f"class.stock.aim = 0.5  # {tmp_path}/base.toml:3\n" in said
-    assert f"sidecar.0.listen = 10.0.0.4:8081  # {file}:" in said
+    assert f"sidecar.0.inbound = 10.0.0.4:8081  # {file}:" in said
     assert "route.stock.attempts = 3  # default\n" in said
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -316,7 +316,7 @@
 
 def test_target_of_inner_tiers_is_smaller() -> None:
     cls = settings().classes[0]
-    assert Kind(cls, 1).least_target == pytest.approx(Kind(cls, 0).least_target / 2)
+    assert Kind(cls, 1, 3).least_target == pytest.approx(Kind(cls, 0, 3).least_target / 2)
 
 
 def test_window_stays_open_until_the_unhurried_latency_is_known() -> None:
@@ -357,7 +357,7 @@
 
 def test_target_is_never_below_what_an_unhurried_call_takes() -> None:
     # Found on a quiet day of wa-payments: the unhurried latency was near the target and W closed to 5.
-    kind = Kind(settings().classes[0], 0)
+    kind = Kind(settings().classes[0], 0, 3)
     least = kind.least_target
     for _ in range(30):
         kind.mean.add(0.3, 50)
--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from itertools import pairwise
 
 import pytest
@@ -31,11 +32,11 @@
 
 
 def gate_with(
-    cls: str, status: Status | None, duplicate: bool = False, cap: int = 3
+    cls: str, status: Status | None, duplicate: bool = False, cap: int = 3, own: int = 0
 ) -> tuple[Obligations, Call]:
     """A gate and a call with one earlier attempt on server 1, sent at 100.0; status None: still out."""
     gate = Obligations(settings(may_duplicate=duplicate, max_attempts=cap), [])
-    kind = Kind(next(c for c in CLASSES if c.name == cls), 0)
+    kind = Kind(replace(next(c for c in CLASSES if c.name == cls), attempts=own), 0, cap)
     call = Call(7, kind, 1.0, 100.0, 102.0, 101.0)
     gate.calls[7] = call
     attempt = gate.send(call, server(1), 100.0, 1.0, 0.0)
@@ -113,6 +114,12 @@
     assert gate.actions == said
 
 
+@pytest.mark.parametrize(("own", "cap", "again"), [(0, 3, True), (1, 3, False), (2, 3, True), (5, 1, False)])
+def test_a_class_may_have_fewer_attempts_than_others_and_never_more(own: int, cap: int, again: bool) -> None:
+    gate, call = gate_with("safe", Status.FULL, cap=cap, own=own)
+    assert gate.may_send(call, server(2), 100.1) is again and gate.may_repeat(call) is again
+
+
 def test_answer_is_a_refusal_only_where_harmless() -> None:
     for cls, status, kind in (
         ("once", Status.ERROR, Fail),
