sidecar run and try: one process beside an application, tried on a described installation

The inbound side takes calls for the application: what is known of it is a table of states fed by probes and broken connections, calls get slots (fewer while it is cold after a restart, which callers can't know of), more wait, the least worth yields. Callers are told by the protocol what never ran.

--- a/granitepoint/membership/register.py
+++ b/granitepoint/membership/register.py
@@ -152,12 +152,16 @@
                 self.on_registered()
         self.registered.set()
 
-    async def drain(self) -> None:
-        """Says Terminating, from now on also after an expiry. Returns once the service has it, or can't be
-        told: then the session's end tells."""
-        self.node = self.node.draining()
-        self._look.set()
+    def say(self, node: Node) -> None:
+        """What the service is to hold from now on, also after an expiry."""
+        self.node = node
         self.registered.clear()
+        self._look.set()
+
+    async def drain(self) -> None:
+        """Says Terminating. Returns once the service has it, or can't be told: then the session's end
+        tells."""
+        self.say(self.node.draining())
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(1.0):
                 await self.registered.wait()
--- a/granitepoint/sidecar/__main__.py
+++ b/granitepoint/sidecar/__main__.py
@@ -6,6 +6,9 @@
     python -m granitepoint.sidecar diff OLD NEW       what changes for a call of each class, and for each tier
     python -m granitepoint.sidecar schema             JSON Schema of a description
     python -m granitepoint.sidecar explain CODE
+    python -m granitepoint.sidecar migrate FILE... [--in-place]      to this format; comments and order stay
+    python -m granitepoint.sidecar run FILE [--host NAME] [--tier NAME] [--environment NAME]
+    python -m granitepoint.sidecar try FILE [--seconds S] [--rate N]  all of it here, with embedded stand-ins
 
 Exit code 0: nothing wrong (warnings may be); 1: findings; 2: a file can't be read, or the call is wrong.
 """
@@ -13,62 +16,20 @@
 from __future__ import annotations
 
 import argparse
+import importlib.util
 import json
+import os
 import sys
 from pathlib import Path
 
 from granitepoint.operator.codes import CODES
 from granitepoint.operator.reader import OperatorError, Problem, read_text
-from granitepoint.operator.schema import TABLES as OPERATORS
-from granitepoint.operator.schema import load as load_operator
-from granitepoint.sidecar import explain, fleet, report
+from granitepoint.sidecar import explain, report
+from granitepoint.sidecar.checking import check, code_of
 from granitepoint.sidecar.description import Layers, load
+from granitepoint.sidecar.migrate import migrate
 from granitepoint.sidecar.model import Description
-from granitepoint.sidecar.platform import Platform
-from granitepoint.sidecar.write import write
-
-UNREADABLE = ("C001",)
-
-
-def check(files: list[str], environment: str) -> list[Problem]:
-    """All findings of all files, and of all of them as one fleet."""
-    problems: list[Problem] = []
-    read: list[tuple[Layers, Description]] = []
-    platforms: list[Platform] = []
-    for file in files:
-        try:
-            if file.endswith(".json"):
-                platforms.append(Platform(file))
-                problems += platforms[-1].problems
-                continue
-            if is_operators(file):
-                load_operator(file)
-                continue
-            layers, description = load(file, environment)
-        except OperatorError as fault:
-            problems += fault.problems
-            continue
-        problems += layers.problems
-        if description is not None:
-            read.append((layers, description))
-    by_file = {description.file: layers for layers, description in read}
-    for finding in fleet.check_fleet([description for _, description in read]):
-        layers = by_file[finding.file]
-        before = len(layers.problems)
-        layers.wrong(finding.path, finding.code, finding.text, finding.instead)
-        problems += layers.problems[before:]
-    for platform in platforms:
-        problems += platform.against([description for _, description in read])
-    unique = {str(problem): problem for problem in problems}  # an included file's fault is one, not several
-    return sorted(
-        unique.values(), key=lambda problem: (problem.file, problem.line, problem.column, problem.code)
-    )
-
-
-def is_operators(file: str) -> bool:
-    """Whether a TOML file is an operator's and no description: it has a table that only these have."""
-    _, raw = read_text(file)
-    return bool(raw.keys() & OPERATORS.keys()) and "format" not in raw
+from granitepoint.sidecar.write import replace_file, write
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -100,7 +61,28 @@
     commands.add_parser("schema", help="JSON Schema of a description")
     explaining = commands.add_parser("explain", help="what a code means")
     explaining.add_argument("code", metavar="CODE")
+    moving = commands.add_parser("migrate", help="bring files of an older format up to date")
+    moving.add_argument("files", nargs="+", metavar="FILE")
+    moving.add_argument("--in-place", action="store_true", help="write each file anew; else they are shown")
+    running = commands.add_parser("run", help="the sidecar for real, until SIGTERM")
+    running.add_argument("file", metavar="FILE")
+    running.add_argument("--host", default="", metavar="NAME", help="of the [[sidecar]]; else this machine's")
+    running.add_argument("--tier", default="", metavar="NAME")
+    running.add_argument("--environment", default="", metavar="NAME")
+    trying = commands.add_parser("try", help="run all sidecars here, with embedded stand-ins and calls")
+    trying.add_argument("file", metavar="FILE")
+    trying.add_argument("--environment", default="", metavar="NAME")
+    trying.add_argument("--seconds", type=float, default=10.0)
+    trying.add_argument("--rate", type=float, default=40.0, help="calls a second")
     wanted = parser.parse_args(argv)
+    if wanted.command == "run":
+        from granitepoint.sidecar.running import run
+
+        return run(wanted)
+    if wanted.command == "try":
+        return _try(wanted)
+    if wanted.command == "migrate":
+        return _migrate(wanted)
     if wanted.command == "explain":
         code = CODES.get(wanted.code.upper())
         if code is None:
@@ -120,13 +102,7 @@
         return _write(wanted, problems)
     form_of = report.as_json if wanted.json else report.as_sarif if wanted.sarif else report.as_text
     sys.stdout.write(form_of(problems))
-    return _code(problems)
-
-
-def _code(problems: list[Problem]) -> int:
-    if any(problem.code in UNREADABLE for problem in problems):
-        return 2
-    return 1 if any(not problem.warning for problem in problems) else 0
+    return code_of(problems)
 
 
 def _read(wanted: argparse.Namespace) -> int:
@@ -155,10 +131,52 @@
     return 0
 
 
+def _migrate(wanted: argparse.Namespace) -> int:
+    """All files or none: one that can't be brought up to date leaves the others as they are."""
+    changed: dict[str, str] = {}
+    problems: list[Problem] = []
+    for file in wanted.files:
+        try:
+            text, _ = read_text(file)
+        except OperatorError as fault:
+            problems += fault.problems
+            continue
+        changed[file], found = migrate(file, text)
+        problems += found
+    sys.stdout.write(report.as_text(problems))
+    if problems:
+        return code_of(problems)
+    for file, text in changed.items():
+        if not wanted.in_place:
+            sys.stdout.write(text)
+            continue
+        try:
+            replace_file(Path(file), text.encode())
+        except OSError as fault:
+            print(f"{file}: not written: {fault.strerror}", file=sys.stderr)
+            return 2
+    return 0
+
+
+def _try(wanted: argparse.Namespace) -> int:
+    """The stand-ins are no part of the program: they come with its checkout, and run as a program of their
+    own."""
+    problems = [problem for problem in check([wanted.file], wanted.environment) if not problem.warning]
+    if problems:
+        sys.stdout.write(report.as_text(problems))
+        return code_of(problems)
+    if importlib.util.find_spec("rigs") is None:
+        print("try needs the folder rigs of a checkout: call it from there", file=sys.stderr)
+        return 2
+    command = [sys.executable, "-m", "rigs.trial", wanted.file, "--environment", wanted.environment]
+    command += ["--seconds", str(wanted.seconds), "--rate", str(wanted.rate)]
+    os.execv(sys.executable, command)
+
+
 def _write(wanted: argparse.Namespace, problems: list[Problem]) -> int:
     """Only what passes check is written, read at this moment and not when it was checked last."""
     sys.stdout.write(report.as_text(problems))
-    code = _code(problems)
+    code = code_of(problems)
     if code:
         return code
     _, description = load(wanted.files[0], wanted.environment)
@@ -171,7 +189,7 @@
         print(f"{wanted.folder}: nothing was written: {fault.strerror}", file=sys.stderr)
         return 2
     sys.stdout.write(report.as_text(refused))
-    return _code(refused)
+    return code_of(refused)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/granitepoint/sidecar/checking.py
@@ -0,0 +1,61 @@
+"""The check of files: descriptions, the platform's JSON and operators' files, alone and as one fleet."""
+
+from __future__ import annotations
+
+from granitepoint.operator.reader import OperatorError, Problem, read_text
+from granitepoint.operator.schema import TABLES as OPERATORS
+from granitepoint.operator.schema import load as load_operator
+from granitepoint.sidecar import fleet
+from granitepoint.sidecar.description import Layers, load
+from granitepoint.sidecar.model import Description
+from granitepoint.sidecar.platform import Platform
+
+UNREADABLE = ("C001",)
+
+
+def check(files: list[str], environment: str) -> list[Problem]:
+    """All findings of all files, and of all of them as one fleet."""
+    problems: list[Problem] = []
+    read: list[tuple[Layers, Description]] = []
+    platforms: list[Platform] = []
+    for file in files:
+        try:
+            if file.endswith(".json"):
+                platforms.append(Platform(file))
+                problems += platforms[-1].problems
+                continue
+            if is_operators(file):
+                load_operator(file)
+                continue
+            layers, description = load(file, environment)
+        except OperatorError as fault:
+            problems += fault.problems
+            continue
+        problems += layers.problems
+        if description is not None:
+            read.append((layers, description))
+    by_file = {description.file: layers for layers, description in read}
+    for finding in fleet.check_fleet([description for _, description in read]):
+        layers = by_file[finding.file]
+        before = len(layers.problems)
+        layers.wrong(finding.path, finding.code, finding.text, finding.instead)
+        problems += layers.problems[before:]
+    for platform in platforms:
+        problems += platform.against([description for _, description in read])
+    unique = {str(problem): problem for problem in problems}  # an included file's fault is one, not several
+    return sorted(
+        unique.values(), key=lambda problem: (problem.file, problem.line, problem.column, problem.code)
+    )
+
+
+def is_operators(file: str) -> bool:
+    """Whether a TOML file is an operator's and no description: it has a table that only these have."""
+    _, raw = read_text(file)
+    return bool(raw.keys() & OPERATORS.keys()) and "format" not in raw
+
+
+def code_of(problems: list[Problem]) -> int:
+    """The exit code that says them."""
+    if any(problem.code in UNREADABLE for problem in problems):
+        return 2
+    return 1 if any(not problem.warning for problem in problems) else 0
--- /dev/null
+++ b/granitepoint/sidecar/inbound.py
@@ -0,0 +1,298 @@
+"""The inbound side: takes calls for the application beside the sidecar; tells callers what became of them.
+
+What is begun, waits and is refused is admission.py's to say. Here are the sockets: a probe of the
+application, the calls' timers, and the answers. To its callers the sidecar is the server itself, and speaks
+as the protocol has it: 503 with `X-Rejected: 1` where the application never had the call, and never else.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+from granitepoint.interface import NEVER_RAN, Effect, ServerEntry, Status
+from granitepoint.net.limits import UPSTREAM_SHARE
+from granitepoint.net.listing import Listed, Listing, address
+from granitepoint.net.server import Page, Reply, Request, Server
+from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, Exchange, Upstreams
+from granitepoint.sidecar.admission import TAKING, Admission, Heard, State, Verdict
+from granitepoint.sidecar.model import Description, Sidecar
+
+log = logging.getLogger(__name__)
+
+PROBE_EVERY = 0.5  # s between probes of an application that is well
+PROBE_SOON = 0.05  # s between probes of one that is not known to be
+PROBE_TIMEOUT = 0.4  # s; a slow application is known within PROBE_EVERY and two of these
+CONNECT_TIMEOUT = 0.25  # s
+PROBES = 2  # connections beside those of calls: a probe, and the last one's while it ends
+IDLE = 4.0  # s for which a connection to the application is kept without use
+MARGIN = 0.01  # s before its caller gives up at which an answer leaves at the latest
+REJECTED = ((b"x-rejected", b"1"),)
+DROPPED = HOP_BY_HOP | {b"x-load-report"}  # the load is what this sidecar holds
+EFFECTS = {"repeatable": Effect.REPEATABLE, "by-key": Effect.BY_KEY, "once": Effect.ONCE}
+APPLICATION = 1  # its number among the upstreams, which are one
+
+
+def probe_of(sidecar: Sidecar) -> bytes:
+    lines = f"GET {sidecar.health} HTTP/1.1", f"Host: {sidecar.application}", "", ""
+    return "\r\n".join(lines).encode()
+
+
+class Held:
+    """A call that was taken and is owed its answer."""
+
+    __slots__ = ("began", "due", "exchange", "open", "reply", "request", "timer")
+
+    def __init__(self, request: Request, reply: Reply, due: float) -> None:
+        self.request, self.reply, self.due = request, reply, due
+        self.open = True
+        self.began = 0.0
+        self.exchange: Exchange | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Inbound:
+    """net.server.Handler for the application of one [[sidecar]]."""
+
+    def __init__(self, description: Description, sidecar: Sidecar, sockets: int, memory_mb: float) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.sidecar = sidecar
+        tier = description.tiers[sidecar.tier]
+        self.classes = {name: description.classes[name] for name in tier.classes}
+        self.advise = description.features.retry_after
+        self.admission: Admission[Held] = Admission(
+            sidecar.slots, sidecar.waiting, tier.cold_from, tier.cold_for, description.features.warm_up
+        )
+        self.upstreams = Upstreams(CONNECT_TIMEOUT, IDLE, int(sockets * UPSTREAM_SHARE) + PROBES)
+        at = address(sidecar.application)
+        self.upstreams.apply(Listing(0, True, [Listed(at, ServerEntry(APPLICATION), "application")]))
+        self.application = self.upstreams.by_id[APPLICATION]
+        self.probe_request = probe_of(sidecar)
+        self.held: dict[bytes, Held] = {}  # by X-Call-Id, until the application is done with it, too
+        self.owed = 0  # answers
+        self.closed = False  # takes nothing any more
+        self.end_by = float("inf")
+        self.probing: asyncio.TimerHandle | None = None
+        self.probe_out = False
+        self.changed = asyncio.Event()  # the application's state has changed
+        pages = {b"/healthz": self._health, b"/load": self._load}
+        effects = {name: EFFECTS[cls.effect] for name, cls in self.classes.items()}
+        self.server = Server(effects, self, sockets, memory_mb, pages, REJECTED)
+
+    async def start(self) -> None:
+        """Raises OSError where it can't listen."""
+        self._probe()
+        await self.server.listen(*address(self.sidecar.inbound))
+
+    def stop(self) -> None:
+        if self.probing is not None:
+            self.probing.cancel()
+
+    # what it says of itself
+    def _health(self) -> Page:
+        state = self.admission.state
+        if self.admission.taking:
+            return Page(200, b"ok\n")
+        return Page(
+            503, b"draining\n" if state in TAKING else b"the application is %s\n" % state.value.encode()
+        )
+
+    def _load(self) -> Page:
+        out, queue = self.admission.out, len(self.admission.queue)
+        return Page(200 if self.admission.taking else 503, b"inflight=%d,queue=%d\n" % (out + queue, queue))
+
+    # the application
+    def _probe(self) -> None:
+        self.probing = None
+        if self.probe_out:
+            return
+        self.probe_out = True
+        exchange = Exchange(self.application, self.probe_request, PROBE_TIMEOUT, lambda: True, self._probed)
+        if self.admission.state is not State.UP:
+            self.application.close_idle()  # a connection that still stands says nothing of who listens now
+        self.upstreams.start(exchange)
+
+    def _probed(self, exchange: Exchange) -> None:
+        self.probe_out = False
+        status = exchange.status
+        if status is Status.CONNECT_FAILED:
+            self._heard(Heard.REFUSED)
+        elif exchange.code:
+            self._heard(Heard.HEALTHY if 200 <= exchange.code < 300 else Heard.UNHEALTHY)
+        elif status is Status.TIMEOUT:
+            self._heard(Heard.SILENT)
+        elif status is not Status.MOOT:  # which was never sent, and says nothing
+            self._heard(Heard.BROKEN)
+        self._probe_later()
+
+    def _probe_later(self, wait: float | None = None) -> None:
+        if self.probing is not None:
+            self.probing.cancel()
+        if wait is None:
+            wait = PROBE_EVERY if self.admission.state is State.UP else PROBE_SOON
+        self.probing = self.loop.call_later(wait, self._probe)
+
+    def _heard(self, what: Heard) -> None:
+        before = self.admission.state
+        now = time.monotonic()
+        self._told(before, self.admission.heard(what, now), now)
+
+    def _told(self, before: State, state: State, now: float) -> None:
+        if state is before:
+            return
+        log.warning("the application at %s: %s -> %s", self.sidecar.application, before.value, state.value)
+        self.changed.set()
+        for held in self.admission.dismissed():
+            self._refuse(held, b"the application is %s\n" % state.value.encode())
+        self._begin_more(now)
+
+    # callers
+    def opened(self, request: Request, reply: Reply) -> Held | None:
+        now = time.monotonic()
+        if self.closed or request.id in self.held:
+            # One of this name is with the application still: this one never was.
+            text = b"draining\n" if self.closed else b"this X-Call-Id is in use\n"
+            reply.answer(503, self._advice(now), text)
+            return None
+        cls = self.classes[request.cls]
+        due = min(request.came + min(request.budget, cls.deadline) - MARGIN, self.end_by)
+        held = Held(request, reply, due)
+        verdict, yields = self.admission.offer(held, cls.worth, due, now)
+        if verdict is Verdict.REFUSE:
+            state = self.admission.state
+            busy = state in TAKING
+            reply.answer(
+                503,
+                self._advice(now),
+                b"busy\n" if busy else b"the application is %s\n" % state.value.encode(),
+            )
+            return None
+        self.held[request.id] = held
+        self.owed += 1
+        held.timer = self.loop.call_later(max(0.0, due - now), self._overdue, held)
+        if yields is not None:
+            self._refuse(yields, b"others are worth more\n")
+        if verdict is Verdict.BEGIN:
+            self._begin(held, now)
+        return held
+
+    def left(self, held: Held) -> None:
+        """Its caller has gone. What waits is not begun; what the application has keeps its slot until it is
+        done, since a cancel stops no work."""
+        if not held.open:
+            return
+        self._settle(held)
+        if self.admission.left(held):
+            del self.held[held.request.id]
+
+    def _begin(self, held: Held, now: float) -> None:
+        held.began = now
+        request = held.request
+        left = held.due - now
+        body = b"%sx-budget: %du\r\n\r\n%s" % (request.head, max(1, int(left * 1e6)), request.body)
+        held.exchange = Exchange(
+            self.application,
+            body,
+            max(0.0, left),
+            lambda: held.open,
+            lambda exchange: self._done(held, exchange),
+        )
+        self.upstreams.start(held.exchange)
+
+    def _begin_more(self, now: float) -> None:
+        while (held := self.admission.following(now)) is not None:
+            self._begin(held, now)
+
+    def _done(self, held: Held, exchange: Exchange) -> None:
+        """The application is done with it, or never had it."""
+        now = time.monotonic()
+        status = exchange.status
+        assert status is not None
+        del self.held[held.request.id]
+        self.admission.ended(exchange.elapsed if exchange.code else None, now)
+        if held.open:
+            self._answer_by(held, exchange, status, now)
+        before = self.admission.state
+        if status is Status.RESET:
+            self._told(before, self.admission.broke(len(self.application.connections), now), now)
+            self._probe_later(0.0)
+        elif status is Status.CONNECT_FAILED:
+            self._told(before, self.admission.heard(Heard.REFUSED, now), now)
+            self._probe_later(PROBE_SOON)
+        self._begin_more(now)
+
+    def _answer_by(self, held: Held, exchange: Exchange, status: Status, now: float) -> None:
+        self._settle(held)
+        if exchange.code >= 200:
+            headers = [pair for pair in exchange.headers if pair[0] not in DROPPED]
+            held.reply.answer(exchange.code, headers, exchange.body)
+        elif status in NEVER_RAN:
+            held.reply.answer(503, self._advice(now), b"the application did not get it\n")
+        elif status is Status.TIMEOUT:
+            held.reply.answer(504, (), b"the application did not answer in time\n")
+        else:
+            held.reply.answer(502, (), b"the application's answer was cut or can't be used\n")
+
+    def _refuse(self, held: Held, text: bytes) -> None:
+        """One that waited and was never begun."""
+        del self.held[held.request.id]
+        if held.open:
+            self._settle(held)
+            held.reply.answer(503, self._advice(time.monotonic()), text)
+
+    def _advice(self, now: float) -> tuple[tuple[bytes, bytes], ...]:
+        if not self.advise:
+            return REJECTED
+        return (*REJECTED, (b"retry-after", b"%.3f" % self.admission.advice(now)))
+
+    def _overdue(self, held: Held, late: bool = False) -> None:
+        """Its time is up while it waits, or a moment before its exchange's own end."""
+        if not held.open:
+            return
+        if not late and time.monotonic() > held.due + LATE:
+            # This process stood still, and timers come before sockets: the answer may have come meanwhile.
+            held.timer = self.loop.call_later(ONE_TURN, self._overdue, held, True)
+            return
+        exchange = held.exchange
+        if exchange is None:
+            self.admission.left(held)  # unless it was passed over just now
+            self._refuse(held, b"waited for as long as its caller would\n")
+            return
+        self._settle(held)
+        if exchange.sent:
+            held.reply.answer(504, (), b"the application did not answer in time\n")
+        else:
+            held.reply.answer(503, self._advice(time.monotonic()), b"the application did not get it\n")
+        exchange.end(Status.TIMEOUT if exchange.sent else Status.MOOT)
+
+    def _settle(self, held: Held) -> None:
+        held.open = False
+        self.owed -= 1
+        if held.timer is not None:
+            held.timer.cancel()
+
+    def change(self, sidecar: Sidecar) -> None:
+        """On SIGHUP: slots, places to wait and the path of its health."""
+        self.sidecar = sidecar
+        self.admission.slots, self.admission.most_waiting = sidecar.slots, sidecar.waiting
+        self.probe_request = probe_of(sidecar)
+        self._begin_more(time.monotonic())
+
+    # the end
+    def drain(self, end_by: float) -> None:
+        """From now on its health says that it leaves; what callers send all the same is served for now, and
+        answered by `end_by` at the latest."""
+        self.admission.draining = True
+        self.end_by = end_by
+        for held in self.held.values():
+            if held.open and held.due > end_by:
+                assert held.timer is not None
+                held.timer.cancel()
+                held.due = end_by
+                held.timer = self.loop.call_later(max(0.0, end_by - time.monotonic()), self._overdue, held)
+
+    def close(self) -> None:
+        """Refuses all that is new, and takes no connections any more."""
+        self.closed = True
+        self.server.stop_listening()
--- /dev/null
+++ b/granitepoint/sidecar/running.py
@@ -0,0 +1,263 @@
+"""The sidecar for real: one process beside an application, with its inbound and its outbound listeners.
+
+It checks its description again itself before it opens a socket, and again on SIGHUP: a file that check
+refuses changes nothing. At SIGTERM the inbound side ends first, since the application needs the outbound
+listeners for as long as it works.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import resource
+import secrets
+import signal
+import socket
+import sys
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import uvloop
+
+from granitepoint.assembly import Proxy, Sparse, registrar, settle, wind_down
+from granitepoint.net.config import Config, ConfigError, read_config
+from granitepoint.net.listing import address
+from granitepoint.net.server import BASE_MEMORY
+from granitepoint.operator.reader import OperatorError, Problem
+from granitepoint.sidecar import report
+from granitepoint.sidecar.admission import TAKING, State
+from granitepoint.sidecar.checking import check, code_of
+from granitepoint.sidecar.description import load
+from granitepoint.sidecar.explain import effective
+from granitepoint.sidecar.inbound import Inbound
+from granitepoint.sidecar.model import Description, Sidecar
+from granitepoint.sidecar.write import platform
+
+log = logging.getLogger("granitepoint.sidecar")
+
+SPARE = 0.4  # s before its SIGKILL by which all is answered
+MOST_SAID = 3  # findings in one line of the log
+CHANGEABLE = frozenset(("padron", "slots", "waiting", "health"))  # by SIGHUP
+
+
+class Refused(Exception):
+    """The description can't be run: what check found."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__(f"{len(problems)} findings")
+        self.problems = problems
+
+
+def read(file: str, environment: str) -> Description:
+    """Raises Refused where check does."""
+    problems = [problem for problem in check([file], environment) if not problem.warning]
+    if not problems:
+        try:
+            layers, description = load(file, environment)
+        except OperatorError as fault:
+            raise Refused(fault.problems) from None
+        if description is not None:
+            return description
+        problems = layers.problems  # it changed since
+    raise Refused(problems)
+
+
+def choose(description: Description, host: str, tier: str) -> Sidecar:
+    """The one [[sidecar]] that is this machine's. Raises Refused."""
+    found = [
+        sidecar
+        for sidecar in description.sidecars
+        if (not tier or sidecar.tier == tier) and (not host or sidecar.host == host)
+    ]
+    if not host and len(found) > 1:
+        found = [sidecar for sidecar in found if sidecar.host == socket.gethostname()] or found
+    if len(found) == 1:
+        return found[0]
+    names = ", ".join(f"--host {entry.host} --tier {entry.tier}" for entry in description.sidecars[:8])
+    text = f"{len(found) or 'no'} sidecars are for host {host or 'any'} and tier {tier or 'any'}"
+    raise Refused([Problem(description.file, 1, "S107", text, f"say which: {names or 'there is none'}")])
+
+
+def shares(sidecar: Sidecar) -> tuple[int, float]:
+    """Descriptors and MB for each listener."""
+    soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    sockets = sidecar.sockets if soft == resource.RLIM_INFINITY else min(sidecar.sockets, soft)
+    listeners = len(sidecar.outbound) + 1
+    return sockets // listeners, BASE_MEMORY + (sidecar.memory_mb - BASE_MEMORY) / listeners
+
+
+def outbound_config(description: Description, sidecar: Sidecar, called: str) -> Config:
+    """Raises ConfigError."""
+    sockets, memory_mb = shares(sidecar)
+    raw = platform(description, sidecar, called)
+    raw["limits"] = {"sockets": sockets, "memory_mb": memory_mb}
+    raw["seed"] = secrets.token_hex(8)
+    try:
+        return read_config(raw, {})
+    except (ValueError, TypeError) as fault:
+        raise ConfigError(f"towards {called}: {fault}") from None
+
+
+class Running:
+    """One sidecar's parts, from their start until the end."""
+
+    def __init__(self, description: Description, sidecar: Sidecar) -> None:
+        self.description, self.sidecar = description, sidecar
+        sockets, memory_mb = shares(sidecar)
+        self.inbound = Inbound(description, sidecar, sockets, memory_mb)
+        self.outbound = {
+            called: Proxy(outbound_config(description, sidecar, called), description.tiers[called].membership)
+            for called in sorted(sidecar.outbound)
+        }
+        tier = description.tiers[sidecar.tier]
+        self.registrar = None
+        if sidecar.registration is not None and tier.membership is not None:
+            self.registrar = registrar(tier.membership, sidecar.registration, int(time.time() * 1000))
+        self.registering: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Raises OSError, with the address, where a listener's is taken. Outbound comes first: the
+        application may call as soon as it is called."""
+        for proxy in self.outbound.values():
+            await proxy.start()
+        await self.inbound.start()
+        if self.registrar is not None:
+            self.registering = asyncio.get_running_loop().create_task(self._registering())
+
+    async def _registering(self) -> None:
+        """The node is there once the application can work, says Terminating while it can't, and begins anew
+        with it."""
+        assert self.registrar is not None
+        inbound, node = self.inbound, self.registrar.node
+        begun, ready = False, False
+        while True:
+            inbound.changed.clear()
+            state = inbound.admission.state
+            if state is State.UP and not ready:
+                since_ms = int(time.time() * 1000) if begun else node.since_ms
+                self.registrar.say(dataclasses.replace(node, since_ms=since_ms))
+                if not begun:
+                    self.registrar.start()
+                begun = ready = True
+            elif ready and state not in TAKING:
+                self.registrar.say(self.registrar.node.draining())
+                ready = False
+            await inbound.changed.wait()
+
+    def reload(self, new: Description, sidecar: Sidecar) -> list[str]:
+        """Takes what may change while it runs; returns what may not and has, and then nothing is taken."""
+        old = dict(effective(self.description))
+        late = []
+        for path, value in effective(new):
+            if old.pop(path, None) != value and path[-1] not in CHANGEABLE:
+                late.append(".".join(path))
+        late += [".".join(path) for path in old]
+        if late:
+            return late
+        self.description, self.sidecar = new, sidecar
+        for called, proxy in self.outbound.items():
+            proxy.move(address(new.padron(called)))
+        self.inbound.change(sidecar)
+        return []
+
+    async def drain(self) -> None:
+        """All that was taken is answered; in time for the SIGKILL, `stop_after` s from now."""
+        tier = self.description.tiers[self.sidecar.tier]
+        now = time.monotonic()
+        end_by = now + tier.stop_after - SPARE
+        self.inbound.drain(end_by)
+        for proxy in self.outbound.values():
+            proxy.driver.end_by = end_by
+        if self.registering is not None and self.registrar is not None:
+            self.registering.cancel()
+            self.registrar.say(self.registrar.node.draining())
+        # Callers learn late that it drains, and may send for so long after that.
+        await asyncio.sleep(min(tier.drain, max(0.0, end_by - time.monotonic())))
+        self.inbound.close()
+        await wind_down(self.inbound.server, lambda: self.inbound.owed > 0)
+        for proxy in self.outbound.values():
+            proxy.server.stop_listening()
+            await proxy.finish()
+        if self.registrar is not None:
+            await self.registrar.leave(0.0)
+
+    def stop(self) -> None:
+        self.inbound.stop()
+        for proxy in self.outbound.values():
+            proxy.stop()
+
+
+def one_line(problems: list[Problem]) -> str:
+    """Findings as one line of the log."""
+    said = [" | ".join(str(problem).splitlines()) for problem in problems[:MOST_SAID]]
+    more = f" (and {len(problems) - MOST_SAID} more)" if len(problems) > MOST_SAID else ""
+    return "; ".join(said) + more
+
+
+def hang_up(running: Running, wanted: Any) -> None:
+    """SIGHUP: the file is checked again, and nothing of one that is refused is taken."""
+    try:
+        new = read(wanted.file, wanted.environment)
+        sidecar = choose(new, running.sidecar.host, running.sidecar.tier)
+    except Refused as fault:
+        log.error("reload: %s; all stays as it was", one_line(fault.problems))
+        return
+    late = running.reload(new, sidecar)
+    if late:
+        names = ", ".join(late[:MOST_SAID]) + (
+            f" and {len(late) - MOST_SAID} more" if late[MOST_SAID:] else ""
+        )
+        log.error("reload: %s: S109: %s can't change while it runs: start it anew; all stays as it was",
+                  wanted.file, names)  # fmt: skip
+        return
+    log.info("reload: %s is in force", wanted.file)
+
+
+def said(running: Running) -> Iterator[str]:
+    sidecar = running.sidecar
+    yield f"inbound {sidecar.inbound} for the application at {sidecar.application}"
+    for called, at in sorted(sidecar.outbound.items()):
+        yield f"outbound {at} towards {called}"
+    yield "running"
+
+
+async def serve(description: Description, sidecar: Sidecar, wanted: Any) -> None:
+    loop = asyncio.get_running_loop()
+    term = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, term.set)
+    running = Running(description, sidecar)
+    loop.add_signal_handler(signal.SIGHUP, hang_up, running, wanted)
+    await running.start()
+    settle()
+    for line in said(running):
+        print(line, flush=True)
+    await term.wait()
+    await running.drain()
+    running.stop()
+
+
+def run(wanted: Any) -> int:
+    """`wanted`: file, environment, host and tier. Exit code 0 after SIGTERM, 1 for findings or an address
+    that is taken, 2 where a file can't be read."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes while it starts finds the new file read
+    logging.basicConfig(stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
+    logging.getLogger().handlers[0].addFilter(Sparse())
+    log.setLevel(logging.INFO)
+    try:
+        description = read(wanted.file, wanted.environment)
+        sidecar = choose(description, wanted.host, wanted.tier)
+    except Refused as fault:
+        sys.stderr.write(report.as_text(fault.problems))
+        return code_of(fault.problems)
+    try:
+        asyncio.Runner(loop_factory=uvloop.new_event_loop).run(serve(description, sidecar, wanted))
+    except ConfigError as fault:
+        print(f"{wanted.file}: {fault}", file=sys.stderr)
+        return 2
+    except OSError as fault:
+        print(f"{wanted.file}: {sidecar.tier} on {sidecar.host}: {fault}", file=sys.stderr)
+        return 1
+    return 0
--- a/granitepoint/sidecar/write.py
+++ b/granitepoint/sidecar/write.py
@@ -209,6 +209,23 @@
     return found
 
 
+def replace_file(path: Path, content: bytes) -> None:
+    """The file changes as a whole or not at all; a link is followed. Raises OSError."""
+    path = path.resolve(strict=True)
+    mode = path.stat().st_mode
+    handle, name = tempfile.mkstemp(prefix=f".{path.name}.", dir=path.parent)
+    try:
+        with os.fdopen(handle, "wb") as sink:
+            sink.write(content)
+            sink.flush()
+            os.fsync(sink.fileno())
+        os.chmod(name, mode & 0o777)
+        os.replace(name, path)
+    except BaseException:
+        Path(name).unlink(missing_ok=True)
+        raise
+
+
 def write(description: Description, folder: Path, force: bool = False) -> list[Problem]:
     """Makes the folder anew; returns what keeps it from that. Raises OSError, and then nothing has
     changed.
--- a/rigs/program.py
+++ b/rigs/program.py
@@ -80,11 +80,12 @@
     files: dict[str, str] | None = None,
     root: Path = ROOT,
     ready: bool = True,
+    more: dict[str, Any] | None = None,
     **changes: Any,
 ) -> AsyncIterator[Program]:
     """A proxy that is `ready`, or just started. `operator`: text of its operator's file, in which
     `{folder}` stands for a folder of its own; `files`: further files there; `root`: the checkout whose
-    program is started."""
+    program is started; `more`: what the JSON has beside the usual, or in its place."""
     with tempfile.TemporaryDirectory() as text:
         folder = Path(text)
         listen = f"127.0.0.1:{free_port()}"
@@ -96,6 +97,7 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"index": 1, "snapshot": True, "endpoints": known},
             "settings": settings(**changes),
+            **(more or {}),
         }
         (folder / "config.json").write_text(json.dumps(raw))
         for file, content in (files or {}).items():
--- /dev/null
+++ b/rigs/world.py
@@ -0,0 +1,221 @@
+"""A described installation on loopback: its sidecars for real, and stand-ins for all else.
+
+Each [[sidecar]] is a process of the program itself beside an application that calls the next tiers through
+it; each asker has a padron of its own, so that the ledger knows who was told what; a plain proxy stands
+before the first tier. Everything is recorded in one ledger.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from dataclasses import replace
+from pathlib import Path
+
+from granitepoint.net.listing import address
+from granitepoint.sidecar.model import Description, Sidecar
+from granitepoint.sidecar.toml import description_text
+from granitepoint.sidecar.write import platform
+from rigs.backend import Backend, Incoming
+from rigs.callers import Callers, Class
+from rigs.kit import until
+from rigs.ledger import Effect, Ledger
+from rigs.padron import Padron, entry
+from rigs.program import ROOT, Program, free_port, proxy
+
+MOST_SIDECARS = 16  # processes of one world; what the description has beyond it is left out
+PLAIN_NODES = 3  # servers of a tier that has no sidecars
+EFFECTS = {"repeatable": "repeatable", "by-key": "by_key", "once": "once"}
+EDGE = "edge"
+
+
+def loopback() -> str:
+    return f"127.0.0.1:{free_port()}"
+
+
+class Host:
+    """One sidecar with its application."""
+
+    def __init__(self, world: World, sidecar: Sidecar) -> None:
+        self.world, self.sidecar = world, sidecar
+        self.name = f"{sidecar.tier}-{sidecar.host}"
+        self.application = Backend(
+            world.ledger, self.name, world.group(sidecar.zone), world.service, further=self.further
+        )
+        self.outbound: dict[str, Callers] = {}
+        self.process: asyncio.subprocess.Process | None = None
+        self.file, self.log = world.folder / f"{self.name}.toml", world.folder / f"{self.name}.log"
+        self.code: int | None = None  # of its last process
+        self.listed = entry(self.name, sidecar.inbound, zone=sidecar.zone)
+
+    async def further(self, incoming: Incoming) -> bool:
+        """What the application does for a call: one call to each tier that it calls and that serves it."""
+        for called, callers in self.outbound.items():
+            left = incoming.due - time.monotonic()
+            cls = self.world.classes[incoming.cls]
+            if incoming.cls not in self.world.description.tiers[called].classes:
+                continue
+            if (
+                left <= 0
+                or await callers.call(replace(cls, budget=min(cls.budget, left)), incoming.key) != 200
+            ):
+                return False
+        return True
+
+    async def start(self) -> None:
+        """The application, the padrones that its sidecar asks, and the sidecar's own description."""
+        self.application.address = self.sidecar.application
+        await self.application.start()
+        tiers = dict(self.world.description.tiers)
+        for called, at in self.sidecar.outbound.items():
+            padron = await self.world.padron(f"{self.name}.{called}", called)
+            tiers[called] = replace(tiers[called], padron=padron, membership=None)
+            self.outbound[called] = Callers(self.world.ledger, address(at), f"{self.name}.{called}", 0)
+        self.file.write_text(description_text(replace(self.world.description, tiers=tiers)))
+        await self.start_sidecar()
+
+    async def start_sidecar(self) -> None:
+        """Returns once it listens and its application was seen to work."""
+        sidecar = self.sidecar
+        command = [sys.executable, "-m", "granitepoint.sidecar", "run", str(self.file)]
+        command += ["--host", sidecar.host, "--tier", sidecar.tier]
+        environ = {**os.environ, "PYTHONPATH": str(ROOT)}
+        with self.log.open("ab") as sink:
+            self.process = await asyncio.create_subprocess_exec(
+                *command, cwd=ROOT, env=environ, stdout=sink, stderr=sink
+            )
+        process, program = self.process, Program(self.process, address(sidecar.inbound), self.log)
+        await until(lambda: process.returncode is not None or program.up(), f"{self.name} ready")
+        if process.returncode is not None:
+            raise RuntimeError(f"{self.name} ended with {process.returncode}: {self.log.read_text()[-2000:]}")
+        for called, at in sidecar.outbound.items():
+            outbound = Program(process, address(at), self.log)
+            await until(outbound.up, f"{self.name} towards {called} ready")
+
+    async def stop_sidecar(self) -> None:
+        """A planned restart's first half: the padron says that it leaves, SIGTERM, and it ends by itself."""
+        assert self.process is not None
+        self.world.put(self.sidecar.tier, {**self.listed, "status": "Terminating"})
+        self.process.terminate()
+        self.code = await self.process.wait()
+
+    async def restart_sidecar(self) -> None:
+        await self.stop_sidecar()
+        await self.start_sidecar()
+        self.world.put(self.sidecar.tier, self.listed)
+
+    async def restart_application(self, away: float) -> None:
+        """As a process that dies and comes back cold, without a word to anybody."""
+        self.application.stop()
+        await asyncio.sleep(away)
+        await self.application.start(cold=True)
+
+    def close(self) -> None:
+        for callers in self.outbound.values():
+            callers.close()
+        self.application.stop()
+
+
+class World:
+    """Made by `world()`."""
+
+    def __init__(self, description: Description, folder: Path, service: float) -> None:
+        self.folder, self.service = folder, service
+        self.ledger = Ledger()
+        self.padrones: dict[tuple[str, str], Padron] = {}  # by asker and tier
+        self.classes = {
+            name: Class(name, 1.0, cls.deadline, Effect(EFFECTS[cls.effect], cls.window))
+            for name, cls in description.classes.items()
+        }
+        self.groups = {cls.group for cls in description.classes.values() if cls.effect == "by-key"}
+        called = {name for tier in description.tiers.values() for name in tier.calls}
+        self.entry = next((name for name in description.tiers if name not in called), "")
+        self.description = self.on_loopback(description)
+        self.hosts = [Host(self, sidecar) for sidecar in self.description.sidecars]
+        manned = {host.sidecar.tier for host in self.hosts}
+        self.plain = [
+            (name, Backend(self.ledger, f"{name}-{number}", self.group(tier.zones[number % len(tier.zones)]),
+                           service))
+            for name, tier in self.description.tiers.items() if name not in manned
+            for number in range(min(PLAIN_NODES, tier.nodes))
+        ]  # fmt: skip
+        self.edge: Program | None = None
+        self.callers: Callers | None = None
+
+    def group(self, zone: str) -> str:
+        """Whose repeats of a key the ledger takes for one another's."""
+        return "all" if self.groups == {"all"} else zone
+
+    def on_loopback(self, description: Description) -> Description:
+        """The same, with free ports here, as many sidecars as a machine carries, and no coordination
+        service."""
+        sidecars = tuple(
+            replace(
+                sidecar, inbound=loopback(), application=loopback(), registration=None,
+                outbound={called: loopback() for called in sidecar.outbound},
+            )
+            for sidecar in description.sidecars[:MOST_SIDECARS]
+        )  # fmt: skip
+        return replace(description, sidecars=sidecars)
+
+    def put(self, tier: str, item: dict[str, object]) -> None:
+        for (_, of), padron in self.padrones.items():
+            if of == tier:
+                padron.put(item)
+
+    async def padron(self, asker: str, tier: str) -> str:
+        padron = self.padrones[asker, tier] = Padron(self.ledger, proxy=asker)
+        for host in self.hosts:
+            if host.sidecar.tier == tier:
+                padron.put(host.listed)
+        for name, backend in self.plain:
+            if name == tier:
+                padron.put(entry(backend.name, backend.address, zone=backend.zone))
+        return await padron.start()
+
+    def edge_settings(self) -> dict[str, object]:
+        """Of the proxy before the first tier, as if it were a sidecar that calls it."""
+        tier = self.description.tiers[self.entry]
+        sidecar = Sidecar("edge", tier.zones[0], "edge", "127.0.0.1:1", "127.0.0.1:1",
+                          outbound={self.entry: "127.0.0.1:1"})  # fmt: skip
+        alone = replace(self.description, sidecars=(sidecar,))
+        made = platform(alone, sidecar, self.entry)
+        return {"settings": made["settings"], "forms": made["forms"]}
+
+    async def close(self) -> None:
+        """Kills what still runs, by the processes that this world started."""
+        for host in self.hosts:
+            host.close()
+            if host.process is not None and host.process.returncode is None:
+                host.process.kill()
+                await host.process.wait()
+        for _, backend in self.plain:
+            backend.stop()
+        for padron in self.padrones.values():
+            padron.stop()
+
+
+@contextlib.asynccontextmanager
+async def world(description: Description, service: float = 0.01) -> AsyncIterator[World]:
+    """All of it, ready. `service`: s that an application or plain server takes for a call, before it calls
+    the next tier."""
+    with tempfile.TemporaryDirectory() as text:
+        made = World(description, Path(text), service)
+        try:
+            for _, backend in made.plain:
+                await backend.start()
+            await asyncio.gather(*(host.start() for host in made.hosts))
+            padron = await made.padron(EDGE, made.entry)
+            known = [item for item in made.padrones[EDGE, made.entry].entries.values()]
+            async with proxy(EDGE, padron, known, more=made.edge_settings()) as program:
+                mix = [made.classes[name] for name in made.description.tiers[made.entry].classes]
+                made.edge = program
+                made.callers = Callers(made.ledger, program.address, EDGE, 1, mix)
+                yield made
+        finally:
+            await made.close()
--- a/tests/rigs/test_demo.py
+++ b/tests/rigs/test_proofs.py
@@ -5,7 +5,7 @@
 import pytest
 
 from benchmarks import ephemeral, per_call, proof
-from rigs.demo import main
+from rigs.trial import main
 
 
 def test_the_demo_serves_real_calls(capsys: pytest.CaptureFixture[str]) -> None:
--- a/tests/sidecar/test_corpus.py
+++ b/tests/sidecar/test_corpus.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from granitepoint.sidecar.__main__ import check, main
+from granitepoint.sidecar.__main__ import main
+from granitepoint.sidecar.checking import check
 
 CORPUS = Path(__file__).parent.parent / "corpus"
 EXPECTED = [
--- a/tests/sidecar/test_description.py
+++ b/tests/sidecar/test_description.py
@@ -11,7 +11,8 @@
 
 from granitepoint.operator.codes import CODES
 from granitepoint.operator.reader import MOST_TEXT
-from granitepoint.sidecar.__main__ import check, main
+from granitepoint.sidecar.__main__ import main
+from granitepoint.sidecar.checking import check
 from granitepoint.sidecar.description import load
 
 ROOT = Path(__file__).parent.parent.parent
--- a/tests/sidecar/test_platform.py
+++ b/tests/sidecar/test_platform.py
@@ -10,7 +10,8 @@
 import pytest
 from test_description import PLAIN, put
 
-from granitepoint.sidecar.__main__ import check, main
+from granitepoint.sidecar.__main__ import main
+from granitepoint.sidecar.checking import check
 from granitepoint.sidecar.platform import json_positions
 
 
