--- a/granitepoint/sidecar/fleet.py
+++ b/granitepoint/sidecar/fleet.py
@@ -13,6 +13,7 @@
 from granitepoint.sidecar import rulemodel
 from granitepoint.sidecar.model import Description, Sidecar, is_any, name_fault
 
+TIER_FACTS = ("zones", "nodes", "connections", "drain", "cold_from", "cold_for", "survives", "push")
 RULES = {1: "R201", 2: "R202", 3: "R203", 4: "R204"}
 
 
@@ -42,6 +43,7 @@
     yield from _ports(descriptions)
     yield from _connections(descriptions)
     yield from _same_names(descriptions)
+    yield from _same_tiers(descriptions)
     yield from _rings(descriptions)
     yield from _multiplied(descriptions)
     yield from _windows(descriptions)
@@ -240,12 +242,25 @@
                               f"{other.file}", "give it one deadline; budgets shorten it inside")  # fmt: skip
 
 
+def _same_tiers(descriptions: list[Description]) -> Iterator[Finding]:
+    """A tier is one thing, whoever describes it: its servers, and what they bear."""
+    first: dict[str, Description] = {}
+    for d in descriptions:
+        for name, tier in d.tiers.items():
+            other = first.setdefault(name, d)
+            for key in TIER_FACTS:
+                here, there = getattr(tier, key), getattr(other.tiers[name], key)
+                if here != there:
+                    yield Finding(d.file, ("tier", name, key), "F310",
+                                  f"{name}: {key} is {here!r} here and {there!r} in {other.file}",
+                                  "describe the tier once, and include it")  # fmt: skip
+
+
 def _windows(descriptions: list[Description]) -> Iterator[Finding]:
     """An outer tier sends a keyed call again for as long as its route allows; each time its application calls
     the inner tier with the same key, whose nodes must still know it then.
     """
     calls = _calls(descriptions)
-    owners = {name: d for d in descriptions for name in d.tiers}
     told = set()
     for outer in descriptions:
         for start, tier in outer.tiers.items():
@@ -254,13 +269,10 @@
                 if cls is None or route is None or route.retry != "by-key" or route.attempts < 2:
                     continue
                 latest = min(route.retry_for, cls.deadline)
-                for called in _below(calls, start):
-                    inner = owners.get(called)
-                    known = inner.classes.get(name) if inner is not None else None
-                    if inner is None or known is None or name not in inner.tiers[called].classes:
-                        continue
-                    if inner is outer:  # rule 2 tells it
-                        continue
+                for called, inner in ((called, d) for called in _below(calls, start) for d in descriptions):
+                    known = inner.classes.get(name) if called in inner.tiers else None
+                    if inner is outer or known is None or name not in inner.tiers[called].classes:
+                        continue  # within one description rule 2 tells it
                     if known.effect == "by-key" and known.window < latest and (inner.file, name) not in told:
                         told.add((inner.file, name))
                         yield Finding(inner.file, ("class", name, "window"), "F309",
--- a/tests/sidecar/test_description.py
+++ b/tests/sidecar/test_description.py
@@ -159,6 +159,58 @@
     ]
 
 
+def test_a_tier_that_differs_between_two_descriptions(tmp_path: Path) -> None:
+    text = PLAIN[: PLAIN.index("[[sidecar]]")]
+    one = put(tmp_path, "one.toml", text)
+    two = put(tmp_path, "two.toml", text.replace("nodes = 40", "nodes = 41"))
+    assert [(Path(p.file).name, p.line, p.code) for p in check([one, two], "")] == [("two.toml", 44, "F310")]
+
+
+def test_an_inner_tier_that_forgets_a_key_while_the_outer_one_still_sends(tmp_path: Path) -> None:
+    """Each file keeps rule 2 by itself: the inner one sends again for 2 s and drops repeats for 3 s."""
+    text = PLAIN[: PLAIN.index("[[sidecar]]")]
+    outer = put(tmp_path, "outer.toml", text)
+    inner_text = text.replace('window = "6s"', 'window = "3s"').replace(
+        'retry_for = "6s"', 'retry_for = "2s"'
+    )
+    inner = put(tmp_path, "inner.toml", inner_text.replace('calls = ["nucleo"]\n', ""))
+    assert check([outer], "") == [] == check([inner], "")
+    for files in ([outer, inner], [inner, outer]):
+        codes = {(Path(p.file).name, p.code) for p in check(files, "")}
+        assert ("inner.toml", "F309") in codes, codes
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "line", "code", "says"),
+    [
+        ('padron = "10.2.0.1:8500"\n', "", 58, "S103", "nobody tells the nodes of nucleo"),
+        ('tier = "portal"\n', 'tier = "portal"\nsockets = 100\n', 57, "S107", "leave 50 for each listener"),
+        ('tier = "portal"\n', 'tier = "portal"\nslots = 300\n', 57, "S107", "leave 204"),
+        ('tier = "portal"\n', 'tier = "portal"\nhealth = "up"\n', 57, "S105", "must be a path"),
+        ("[tier.nucleo]\n", "[features]\nload_reports = 1\n\n[tier.nucleo]\n", 42, "S104", "a string"),
+        ("[tier.nucleo]\n", "[features]\nprobe = true\n\n[tier.nucleo]\n", 42, "S101", "unknown key probe"),
+        (
+            "[tenant.app]\n",
+            '[tier.nucleo.membership]\nservers = ["h:1"]\npath = "x"\n\n[tenant.app]\n',
+            49, "S105", "path must be a path",
+        ),
+        (
+            "[tenant.app]\n",
+            '[tier.nucleo.membership]\nservers = ["h:1"]\npath="/x"\nconnect_timeout = 9.0\n\n[tenant.app]\n',
+            50, "S107", "connect_timeout is not below",
+        ),
+        (
+            '[[sidecar]]\nhost = "h-2"',
+            '[sidecar.registration]\nname = "s-1"\naddress = "10.0.0.4:8081"\n\n[[sidecar]]\nhost = "h-2"',
+            61, "S107", "no service to register with",
+        ),
+    ],
+)  # fmt: skip
+def test_what_a_sidecar_needs(tmp_path: Path, old: str, new: str, line: int, code: str, says: str) -> None:
+    problems = check([put(tmp_path, text=PLAIN.replace(old, new, 1))], "")
+    assert [(p.line, p.code) for p in problems if says in p.text] == [(line, code)], problems
+
+
 def test_a_ring_over_two_descriptions(tmp_path: Path) -> None:
     text = PLAIN[: PLAIN.index("[[sidecar]]")]
     one = put(tmp_path, "one.toml", text)
--- a/tests/sidecar/test_write.py
+++ b/tests/sidecar/test_write.py
@@ -4,15 +4,19 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 from pathlib import Path
 
 import pytest
-from test_description import PLAIN, put
+from test_description import PLAIN, ROOT, put
 
 from granitepoint.interface import Effect
 from granitepoint.net.config import load as load_config
+from granitepoint.operator import load as load_operator
 from granitepoint.sidecar.__main__ import main
+from granitepoint.sidecar.description import load
+from granitepoint.sidecar.toml import description_text
 
 
 def tree(folder: Path) -> dict[str, bytes]:
@@ -42,6 +46,73 @@
     assert (folder / "h-1/portal-nucleo.service").read_text().count("EDGE_CONFIG") == 1
 
 
+SOURCES = """
+[tier.nucleo.membership]
+servers = ["10.2.0.7:2181", "10.2.0.8:2181"]
+path = "/salas/nucleo"
+reread_jitter = 0.25
+
+"""
+
+
+def test_ephemeral_nodes_are_written_as_the_operators_file(tmp_path: Path) -> None:
+    text = PLAIN.replace("[tenant.app]", SOURCES + "[tenant.app]").replace(
+        "[tier.nucleo]\n", '[tier.nucleo]\npadron = "10.2.0.9:8500"\n'
+    )
+    text += '\n[sidecar.registration]\nname = "s-\\"2"\naddress = "10.0.0.5:8081"\n'
+    folder = written(tmp_path, text)
+    called = load_operator(str(folder / "h-1/portal-nucleo.operator.toml"))
+    assert called.membership is not None and called.registration is None
+    assert called.membership.servers == ("10.2.0.7:2181", "10.2.0.8:2181")
+    assert called.membership.reread_jitter == 0.25 and called.membership.path == "/salas/nucleo"
+    own = load_operator(str(folder / "h-2/nucleo.operator.toml"))
+    assert own.registration is not None and own.registration.name == 's-"2'
+    assert "--operator" in (folder / "h-1/portal-nucleo.service").read_text()
+    assert load_config({"EDGE_CONFIG": str(folder / "h-1/portal-nucleo.json")}).discovery == (
+        "10.2.0.9",
+        8500,
+    )
+    assert (
+        "run /etc/willowwing/canjes.toml --host h-2 --tier nucleo"
+        in (folder / "h-2/nucleo.service").read_text()
+    )
+    file = folder / "h-2/nucleo.operator.toml"
+    file.write_text(file.read_text().replace("0.25", "0.5"))
+    assert main(["write", str(tmp_path / "app.toml"), "-o", str(folder)]) == 1
+
+
+def test_a_route_that_is_stricter_than_its_class_changes_no_requests_form(tmp_path: Path) -> None:
+    """A keyed class that is sent again only where it never ran is still sent with its key."""
+    text = PLAIN.replace('retry = "by-key"\nretry_within = "zone"\nretry_for = "6s"', 'retry = "never-ran"')
+    text = text.replace('retry = "always"', 'retry = "never"\nattempts = 2')
+    config = load_config({"EDGE_CONFIG": str(written(tmp_path, text) / "h-1/portal-nucleo.json")})
+    classes = {cls.name: cls for cls in config.settings.classes}
+    assert {cls.effect for cls in classes.values()} == {Effect.ONCE}
+    assert config.forms == {"stock": Effect.REPEATABLE, "reserva": Effect.BY_KEY, "canje": Effect.ONCE}
+    assert [cls.attempts for cls in classes.values()] == [1, 3, 3]
+
+
+def test_features_are_the_platforms_limits(tmp_path: Path) -> None:
+    text = '[features]\nprobes = false\nretry_after = false\ncancel = false\nload_reports = "answer"\n\n'
+    text = PLAIN.replace("[class.stock]", text + "[class.stock]", 1)
+    settings = load_config({"EDGE_CONFIG": str(written(tmp_path, text) / "h-1/portal-nucleo.json")}).settings
+    assert not (settings.may_probe or settings.may_advise_wait or settings.may_cancel)
+    assert settings.reports == "answer"
+
+
+@pytest.mark.parametrize(
+    "file", sorted((ROOT / "tests" / "corpus" / "good").glob("*.toml")), ids=lambda p: p.stem
+)
+def test_a_description_written_as_text_reads_as_the_same(file: Path, tmp_path: Path) -> None:
+    _, description = load(str(file))
+    assert description is not None
+    again = load(put(tmp_path, text=description_text(description)))[1]
+    assert again is not None
+    assert dataclasses.replace(again, file="", top=description.top) == dataclasses.replace(
+        description, file=""
+    )
+
+
 def test_the_same_input_gives_the_same_bytes(tmp_path: Path) -> None:
     first = tree(written(tmp_path))
     assert tree(written(tmp_path)) == first
