--- a/tests/sidecar/test_admission.py
+++ b/tests/sidecar/test_admission.py
@@ -165,6 +165,15 @@
     assert (admission.room(5.1) < 8) is cold
 
 
+def test_a_restart_is_held_against_an_application_once() -> None:
+    admission = up(slots=8, cold_for=1.0)
+    admission.broke(0, 5.0)
+    admission.heard(Heard.HEALTHY, 5.1)
+    admission.heard(Heard.UNHEALTHY, 9.0)
+    admission.heard(Heard.HEALTHY, 9.5)
+    assert admission.room(9.5) == 8
+
+
 def test_warm_up_can_be_off() -> None:
     admission: Admission[str] = Admission(8, 0, 0.25, 10.0, False)
     admission.heard(Heard.REFUSED, 0.0)
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
 import tomllib
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
@@ -13,7 +14,8 @@
 from netkit import Backend, Caller, Seen, next_call, response, run, serve_ok
 from test_description import PLAIN
 
-from granitepoint.sidecar.admission import State
+from granitepoint.net.server import Request
+from granitepoint.sidecar.admission import Heard, State
 from granitepoint.sidecar.description import Layers, build
 from granitepoint.sidecar.inbound import Inbound
 from granitepoint.sidecar.model import Description
@@ -217,10 +219,12 @@
                 await until(lambda n=number: len(made.inbound.held) == n + 1)  # type: ignore[misc]
             await until(lambda: made.application.count == 2)
             assert len(made.inbound.admission.queue) == 2
+            begun = asyncio.get_running_loop().time()
             await made.application.stop()
             for writer in made.application.writers:
                 writer.transport.abort()
             answers = [await caller.answer() for caller in callers]
+            assert asyncio.get_running_loop().time() - begun < 2.5  # at once, not at the end of their 5 s
             assert [answer.code for answer in answers[:2]] == [502, 502]  # they may have run
             assert all("x-rejected" not in answer.headers for answer in answers[:2])
             await made.becomes(State.DOWN)
@@ -457,3 +461,115 @@
             assert [(await caller.answer()).code for caller in callers] == [200, 200]
 
     run(test())
+
+
+@pytest.mark.parametrize("another", [False, True])
+def test_a_restart_between_two_probes_is_seen_by_all_its_connections_breaking(another: bool) -> None:
+    """The listener is there all the time, as with a supervisor that starts the next process at once. Where
+    `another` connection stands, it was one connection's end."""
+
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        if seen.target.startswith("/canje"):
+            writer.transport.abort()
+        else:
+            await asyncio.Event().wait()
+
+    async def test() -> None:
+        async with side(behave, slots=8) as made:
+            if another:
+                (await made.caller()).send("reserva", "2" * 16, "3900m")
+                await until(lambda: made.application.count == 1)
+            else:
+                made.inbound.application.close_idle()
+            assert (await (await made.caller()).call("canje", "1" * 16)).code == 502
+            await until(lambda: made.state is State.UP and not made.inbound.probe_out)
+            room = made.inbound.admission.room(asyncio.get_running_loop().time())
+            assert room == (8 if another else 1)
+
+    run(test())
+
+
+def test_an_application_that_closed_its_listener_stays_down_though_kept_connections_answer() -> None:
+    """It drains: who has a connection is served, and nobody new. Up and down in turns would be worse."""
+
+    async def test() -> None:
+        async with side(slots=4) as made:
+            callers = [await made.caller() for _ in range(2)]
+            for caller in callers:  # two kept connections
+                caller.send("canje", f"{id(caller):016x}")
+            assert [(await caller.answer()).code for caller in callers] == [200, 200]
+            assert made.application.server is not None
+            made.application.server.close()
+            states = [made.inbound.admission.heard(Heard.REFUSED, time.monotonic())]
+            made.inbound._probe()
+            await until(lambda: not made.inbound.probe_out)
+            states.append(made.state)
+            assert states == [State.DOWN, State.DOWN]
+
+    run(test())
+
+
+class Caught:
+    """A reply that keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.codes: list[int] = []
+
+    def answer(self, code: int, headers: Any, body: bytes) -> None:
+        self.codes.append(code)
+
+
+def request(id: bytes, budget: float, cls: str = "canje") -> Request:
+    head = b"POST /%s HTTP/1.1\r\nhost: x\r\nx-call-id: %s\r\n" % (cls.encode(), id)
+    return Request(id, cls, budget, "", "", 0.0, False, head, b"", time.monotonic())
+
+
+def test_a_caller_that_left_while_the_connection_was_being_made_costs_the_application_nothing() -> None:
+    async def test() -> None:
+        async with side() as made:
+            made.inbound.application.close_idle()
+            held = made.inbound.opened(request(b"1" * 16, 5.0), Caught())
+            assert held is not None and held.exchange is not None and not held.exchange.sent
+            made.inbound.left(held)
+            await until(lambda: not made.inbound.held)
+            assert made.application.count == 0 and made.inbound.admission.out == 0
+
+    run(test())
+
+
+def test_no_call_is_held_for_longer_than_its_class_or_the_end_of_the_process_allows() -> None:
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        await asyncio.Event().wait()
+
+    async def test() -> None:
+        async with side(behave) as made:
+            begun = time.monotonic()
+            held = made.inbound.opened(request(b"1" * 16, 60.0), Caught())
+            assert held is not None and held.due - begun <= 6.0
+            made.inbound.drain(begun + 0.3)
+            reply = Caught()
+            assert made.inbound.opened(request(b"2" * 16, 5.0), reply) is not None
+            await until(lambda: reply.codes == [504])
+            assert time.monotonic() - begun < 2.0
+
+    run(test())
+
+
+def test_who_waits_for_an_application_that_says_it_cant_is_refused_at_once() -> None:
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        await asyncio.Event().wait()
+
+    async def test() -> None:
+        async with side(behave, slots=1, waiting=4) as made:
+            out, waits = await made.caller(), await made.caller()
+            out.send("canje", "1" * 16, "5000m")
+            await until(lambda: made.application.count == 1)
+            begun = time.monotonic()
+            waits.send("canje", "2" * 16, "5900m")
+            await until(lambda: made.inbound.admission.queue)
+            made.application.healthy = False
+            answer = await waits.answer()
+            assert answer.body == b"the application is unready\n" and answer.headers["x-rejected"] == "1"
+            assert time.monotonic() - begun < 3.0 and made.application.count == 1
+
+    run(test())
--- a/tests/sidecar/test_migrate.py
+++ b/tests/sidecar/test_migrate.py
@@ -41,6 +41,7 @@
         'padron = "10.2.0.1:8500"\nsidecar = [{host = "h-1", zone = "sala-a", tier = "nucleo", '
         'listen = "10.0.0.4:8081", application = "127.0.0.1:9000"}]',
     )
+    assert migrate("odd.toml", text)[0] == text
     good, odd = put(tmp_path, "good.toml", text.replace("sidecar = ", "# ")), put(tmp_path, "odd.toml", text)
     assert main(["migrate", good, odd, "--in-place"]) == 1
     said = capsys.readouterr().out
