--- a/granitepoint/sidecar/checking.py
+++ b/granitepoint/sidecar/checking.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from granitepoint.operator.reader import OperatorError, Problem, read_text
+from granitepoint.operator.reader import MOST_TEXT, OperatorError, Problem, read_text
 from granitepoint.operator.schema import TABLES as OPERATORS
 from granitepoint.operator.schema import load as load_operator
 from granitepoint.sidecar import fleet
 from granitepoint.sidecar.description import Layers, load
 from granitepoint.sidecar.model import Description
 from granitepoint.sidecar.platform import Platform
+from granitepoint.sidecar.write import edited, written_here
 
 UNREADABLE = ("C001",)
 
@@ -20,6 +21,9 @@
     platforms: list[Platform] = []
     for file in files:
         try:
+            problems += altered(file)
+            if file.endswith(".service"):
+                continue
             if file.endswith(".json"):
                 platforms.append(Platform(file))
                 problems += platforms[-1].problems
@@ -48,6 +52,30 @@
     )
 
 
+def altered(file: str) -> list[Problem]:
+    """Whether a file that this tool wrote was changed since. Raises OperatorError where it can't be read."""
+    try:
+        with open(file, "rb") as source:
+            content = source.read(MOST_TEXT)
+    except OSError as fault:
+        raise OperatorError(
+            [
+                Problem(
+                    file, 1, "C001", f"can't be read: {fault.strerror}", "name a file as `write` makes them"
+                )
+            ]
+        ) from None
+    if not written_here(content, file):
+        if file.endswith(".service"):
+            text = "is no unit of this tool's: it has no digest at its head"
+            return [Problem(file, 1, "C008", text, "name one that `write` made")]
+        return []
+    if not edited(content, file):
+        return []
+    instead = "put the change into the description, and write it anew"
+    return [Problem(file, 1, "C008", "was edited by hand since it was written", instead)]
+
+
 def is_operators(file: str) -> bool:
     """Whether a TOML file is an operator's and no description: it has a table that only these have."""
     _, raw = read_text(file)
--- a/granitepoint/sidecar/write.py
+++ b/granitepoint/sidecar/write.py
@@ -21,6 +21,7 @@
 from granitepoint.sidecar.toml import table
 
 MARK = "written"
+HEAD = b"# written by granitepoint.sidecar, sha256 "
 FORMS = {"repeatable": "repeatable", "by-key": "by_key", "once": "once"}
 # How a call is treated follows from its route; what it looks like (method, key) from its class.
 TREATMENTS = {"never": "once", "never-ran": "once", "by-key": "by_key", "always": "repeatable"}
@@ -140,7 +141,7 @@
 
 def headed(body: bytes) -> bytes:
     """With a digest of it in a comment at its head."""
-    return b"# written by granitepoint.sidecar, sha256 %s\n%s" % (digest(body), body)
+    return HEAD + b"%s\n%s" % (digest(body), body)
 
 
 def digest(body: bytes) -> bytes:
@@ -180,6 +181,16 @@
     return _service(sidecar, title, conflicts, command, description.tiers[sidecar.tier].stop_after)
 
 
+def written_here(content: bytes, name: str) -> bool:
+    """Whether it bears a digest of this tool's, right or wrong."""
+    if name.endswith(".json"):
+        try:
+            return MARK in json.loads(content)
+        except (ValueError, TypeError, RecursionError):
+            return False
+    return content.startswith(HEAD)
+
+
 def edited(content: bytes, name: str) -> bool:
     """Whether its digest is not that of its content, or there is none."""
     if name.endswith(".json"):
@@ -190,7 +201,7 @@
         except (ValueError, KeyError, TypeError, AttributeError):
             return True
     head, _, body = content.partition(b"\n")
-    return not head.startswith(b"# written by ") or head.split()[-1] != digest(body)
+    return not head.startswith(HEAD) or head.split()[-1] != digest(body)
 
 
 def refusals(folder: Path) -> list[Problem]:
--- a/tests/sidecar/test_write.py
+++ b/tests/sidecar/test_write.py
@@ -81,6 +81,24 @@
     assert main(["write", str(tmp_path / "app.toml"), "-o", str(folder)]) == 1
 
 
+def test_check_takes_every_file_that_write_makes_and_tells_which_was_edited(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    folder = written(tmp_path, PLAIN.replace("[tenant.app]", SOURCES + "[tenant.app]"))
+    files = sorted(str(path) for path in folder.rglob("*") if path.is_file())
+    assert {Path(file).suffix for file in files} == {".json", ".service", ".toml"}
+    assert main(["check", str(tmp_path / "app.toml"), *files]) == 0, capsys.readouterr().out
+    for file in files:
+        before = Path(file).read_text()
+        Path(file).write_text(before.replace("0.25", "0.5").replace("MAINPID", "PID"))
+        assert main(["check", file]) == 1
+        assert f"{file}:1:1: error[C008]: was edited by hand" in capsys.readouterr().out
+        Path(file).write_text(before)
+    own = tmp_path / "own.service"
+    own.write_text("[Service]\n")
+    assert main(["check", str(own)]) == 1 and main(["check", str(tmp_path / "no.service")]) == 2
+
+
 def test_a_route_that_is_stricter_than_its_class_changes_no_requests_form(tmp_path: Path) -> None:
     """A keyed class that is sent again only where it never ran is still sent with its key."""
     text = PLAIN.replace('retry = "by-key"\nretry_within = "zone"\nretry_for = "6s"', 'retry = "never-ran"')
