--- a/rigs/callers.py
+++ b/rigs/callers.py
@@ -76,6 +76,7 @@
         self.ledger, self.proxy, self.name, self.mix = ledger, proxy, name, mix
         self.random = Random(f"{name} {seed}")
         self.idle: list[_Connection] = []
+        self.pool: set[_Connection] = set()  # all that are up
         self.connections = 0
         self.count = 0
         self.unsent = 0
@@ -162,9 +163,11 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.callers.pool.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        self.callers.pool.discard(self)
         self.callers.connections -= 1
         if self in self.callers.idle:
             self.callers.idle.remove(self)
--- a/rigs/chain.py
+++ b/rigs/chain.py
@@ -75,6 +75,7 @@
     """A running chain, and what its ledger says of the trees of calls."""
 
     world: World
+    keys: Path  # of all its processes
 
     def root(self, call: str) -> str:
         """The outermost request that a call was made for."""
@@ -117,7 +118,9 @@
     misroute: bool = False,
     skew: bool = False,
     habits: Habits | None = None,
+    older: frozenset[str] = frozenset(),
 ) -> AsyncIterator[Chain]:
+    """`older`: tiers whose sidecars know of no budgets."""
     with tempfile.TemporaryDirectory() as folder:
         keys = Path(folder) / "keys"
         keys.touch(0o600)
@@ -137,8 +140,8 @@
                         f"--wall={hour}", f"--step={hour}", "--at=2", f"--monotonic={number * 1000}"
                     ]  # fmt: skip
         routes = {TIERS[tiers]: TIERS[0]} if misroute else {}
-        async with world(description, usual, routes, skews, edge) as made:
-            yield Chain(made)
+        async with world(description, usual, routes, skews, edge, older) as made:
+            yield Chain(made, keys)
 
 
 async def show(wanted: argparse.Namespace) -> int:
--- a/rigs/world.py
+++ b/rigs/world.py
@@ -95,7 +95,10 @@
             padron = await self.world.padron(f"{self.name}.{called}", called)
             tiers[called] = replace(tiers[called], padron=padron, membership=None)
             self.outbound[called] = Callers(self.world.ledger, address(at), f"{self.name}.{called}", 0)
-        self.file.write_text(description_text(replace(self.world.description, tiers=tiers)))
+        mine = replace(self.world.description, tiers=tiers)
+        if self.sidecar.tier in self.world.older:
+            mine = replace(mine, budgets=None)
+        self.file.write_text(description_text(mine))
         await self.start_sidecar()
 
     async def start_sidecar(self) -> None:
@@ -154,6 +157,7 @@
         skews: Mapping[str, list[str]],
     ) -> None:
         self.folder, self.habits, self.routes, self.skews = folder, habits, routes, skews
+        self.older: frozenset[str] = frozenset()  # tiers whose sidecars know of no budgets
         self.parents: dict[str, str] = {}  # a call that an application made, and the one that it made it for
         self.ledger = Ledger()
         self.padrones: dict[tuple[str, str], Padron] = {}  # by asker and tier
@@ -237,12 +241,14 @@
     routes: Mapping[str, str] | None = None,
     skews: Mapping[str, list[str]] | None = None,
     edge: str = "",
+    older: frozenset[str] = frozenset(),
 ) -> AsyncIterator[World]:
     """All of it, ready. `routes`: a tier whose list of servers is another tier's; `skews`: arguments of
     rigs.skew
     for some sidecars; `edge`: the operator's file of the proxy before the first tier."""
     with tempfile.TemporaryDirectory() as text:
         made = World(description, Path(text), habits or Habits(), routes or {}, skews or {})
+        made.older = older
         try:
             for _, backend in made.plain:
                 await backend.start()
