A caller that leaves ends its attempt at the application; worth counts at a call's usual end

The ledger of an overloaded chain found a second attempt while one was out: a sidecar whose caller had given up left its connection to the application open. Worth of calls past their aim: a twentieth, judged at the soonest that they usually end.

--- a/granitepoint/budgets/accounts.py
+++ b/granitepoint/budgets/accounts.py
@@ -12,7 +12,7 @@
 
 from dataclasses import dataclass, field
 
-LATE_SHARE = 0.25  # of its worth that a request has when its outer aim has passed
+LATE_SHARE = 0.05  # of its worth that a request has when its outer aim has passed
 
 
 def call_part(free: int, calls_to_come: int) -> int:
--- a/granitepoint/budgets/calls.py
+++ b/granitepoint/budgets/calls.py
@@ -133,7 +133,7 @@
     ) -> None:
         self.filter, self.request, self.account, self.cls, self.told = filter, request, account, cls, told
         self.due = account.due
-        self.share = share_of(account, cls, time.monotonic())
+        self.share = share_of(account, cls, time.monotonic() + filter.usual[cls.name].quick)
         self.entry: Entry | None = None
 
     def sending(self, timeout: float) -> bytes:
@@ -176,6 +176,7 @@
         """`called`: the tier, or "" where that is not known; `most`: attempts that any call may have."""
         self.budgets, self.called, self.classes, self.most = budgets, called, classes, most
         self.transit = Transit()
+        self.usual = {name: Usual() for name in classes}
 
     def arrival(self, request: Request, give_up: Callable[[], None]) -> OuterTicket | Turned:
         budgets, cls = self.budgets, self.classes[request.cls]
@@ -191,6 +192,10 @@
                 return Turned(b"nobody waits for its request any more\n")
             if self.called and header.looped(entry.account.path, self.called, budgets.settings.passes):
                 return budgets.loop(entry.account.path, self.called)
+            if budgets.settings.refuse_below_usual and not self.usual[cls.name].covers(
+                entry.account.due - now
+            ):
+                return Turned(b"its budget can't cover the work\n")
             account = entry.account.lend(budgets.settings.calls_per_request, now)
             if account is None:
                 return Turned(b"its request has no attempts or no time left\n")
@@ -223,7 +228,7 @@
         self.filter, self.request, self.account, self.cls = filter, request, account, cls
         self.give_up = give_up
         self.due = account.due
-        self.share = share_of(account, cls, time.monotonic())
+        self.share = share_of(account, cls, time.monotonic() + filter.usual[cls.name].quick)
         self.attempts = account.granted
         self.begun = 0
         self.lent: Lent | None = None
@@ -253,6 +258,8 @@
         said = header.read_spent(words[0], lent.attempts) if len(words) == 1 else None
         if said is not None:
             self.filter.transit.learn(exchange.elapsed, said[1])
+        if status is Status.OK:
+            self.filter.usual[self.cls.name].learn(exchange.elapsed)
         loose = not exchange.code and status not in NEVER_RAN
         lent.end(said[0] if said is not None else None, loose)
 
@@ -264,9 +271,10 @@
         self.filter.budgets.closed(self.account, not answered)
 
 
-def share_of(account: Account, cls: RequestClass, now: float) -> float:
-    """Of its class's worth that a call has: what the outermost request is worth now."""
-    return min(MOST_SHARE, account.worth_at(now) / cls.worth) if cls.worth > 0 else 1.0
+def share_of(account: Account, cls: RequestClass, end: float) -> float:
+    """Of its class's worth that a call has: what the outermost request is worth at the soonest that the call
+    usually ends."""
+    return min(MOST_SHARE, account.worth_at(end) / cls.worth) if cls.worth > 0 else 1.0
 
 
 def header_lines(head: bytes) -> list[tuple[bytes, bytes]]:
--- a/granitepoint/sidecar/inbound.py
+++ b/granitepoint/sidecar/inbound.py
@@ -202,14 +202,14 @@
         return held
 
     def left(self, held: Held) -> None:
-        """Its caller has gone. What waits is not begun; what the application has keeps its slot until it is
-        done, since a cancel stops no work."""
+        """Its caller has gone. What waits is not begun; of what the application has the connection is closed,
+        so that no attempt is out which its caller has given up."""
         if not held.open:
             return
         self._settle(held, False)
         if self.admission.left(held):
             del self.held[held.request.id]
-        elif held.tickets and held.exchange is not None:
+        elif held.exchange is not None:
             self._stop(held, held.exchange)
 
     def _stop(self, held: Held, exchange: Exchange) -> None:
