--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -42,6 +42,7 @@
 
 HOSTS = 2
 CALLS_EACH = 2  # of an application of the first tier to the inner one, one after another
+PATIENCE = (0.5, 1.0)  # of its class's time for which a caller waits
 CAPACITY = HOSTS * SLOTS["nucleo"] / SERVICES["nucleo"] / CALLS_EACH  # requests a second
 CALM, OVER = 0.5, 1.5  # of it
 HALF, HALF_SHORT = 15.0, 4.0  # s of each half
@@ -178,6 +179,7 @@
     async with running(2, HOSTS, on, habits=habits) as made:
         callers = made.world.callers
         assert callers is not None
+        callers.patience = PATIENCE
         callers.random = Random(seed)  # the same calls at the same moments, on and off
         loop = asyncio.get_running_loop()
         spans = []
--- a/tests/operator/test_operator_file.py
+++ b/tests/operator/test_operator_file.py
@@ -143,6 +143,7 @@
         "import granitepoint.net.driver, granitepoint.net.server\n"
         "m.main([])\n"
         "bad = [n for n in sys.modules if n.startswith(('granitepoint.membership', 'granitepoint.operator',"
+        " 'granitepoint.budgets', 'granitepoint.sidecar',"
         " 'granitepoint.benchlink', 'rigs'))]\n"
         "sys.exit(' '.join(bad) or 0)"
     )
--- a/tests/sidecar/test_description.py
+++ b/tests/sidecar/test_description.py
@@ -211,6 +211,36 @@
     assert [(p.line, p.code) for p in problems if says in p.text] == [(line, code)], problems
 
 
+BUDGETS = '[budgets]\nkeys_file = "keys"\n'
+
+
+@pytest.mark.parametrize(
+    ("more", "line", "code", "says"),
+    [
+        ("attempts = 3\n", 7, "S107", "3 attempts don't reach every call of 2 tiers that make 2 calls each"),
+        ("attempts = 13\n", 7, "S107", "attempts_over_tiers says 12"),
+        ("edge = true\n", 7, "S107", "portal on h-1 stands behind an application"),
+        ('mark = "Portal"\n', 7, "S105", "must be a tier's name"),
+        ("passes = 0\n", 7, "S105", "must lie between 1 and 4"),
+        ("attempt = 3\n", 7, "S101", "unknown key attempt"),
+    ],
+)
+def test_budgets_that_cant_work(tmp_path: Path, more: str, line: int, code: str, says: str) -> None:
+    good = PLAIN.replace("[class.stock]", BUDGETS + "\n[class.stock]", 1)
+    assert check([put(tmp_path, text=good)], "") == []
+    text = PLAIN.replace("[class.stock]", BUDGETS + more + "\n[class.stock]", 1)
+    problems = check([put(tmp_path, text=text)], "")
+    assert [(p.line, p.code) for p in problems if says in p.text] == [(line, code)], problems
+
+
+def test_budgets_bound_the_attempts_over_tiers(tmp_path: Path) -> None:
+    """Four attempts at each of two tiers are 16, over the bound of 12; of one tree they are 12."""
+    text = PLAIN.replace("[route.stock]", "[route.stock]\nattempts = 4", 1)
+    assert "F307" in {problem.code for problem in check([put(tmp_path, text=text)], "")}
+    text = text.replace("[class.stock]", BUDGETS + "\n[class.stock]", 1)
+    assert check([put(tmp_path, text=text)], "") == []
+
+
 def test_a_ring_over_two_descriptions(tmp_path: Path) -> None:
     text = PLAIN[: PLAIN.index("[[sidecar]]")]
     one = put(tmp_path, "one.toml", text)
