--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -46,6 +46,7 @@
 CAPACITY = HOSTS * SLOTS["nucleo"] / SERVICES["nucleo"] / CALLS_EACH  # requests a second
 CALM, OVER = 0.5, 1.5  # of it
 HALF, HALF_SHORT = 15.0, 4.0  # s of each half
+WARM = 2.0  # s of calls before, which count for nothing
 TURNS, TURNS_SHORT = 3, 1  # of each, on and off
 HANGS, HANGS_SHORT = 4, 1  # in an overloaded half
 HANG = 1.0  # s for which a server takes calls and answers none
@@ -137,6 +138,9 @@
     served: int = 0
     refused: int = 0
     late: list[float] = field(default_factory=list)  # s by which work was begun for nobody
+    nobody: float = 0.0  # s of work after its request had its end
+    inner: float = 0.0  # s of work of the inner tier
+    used: float = 0.0  # of it, for requests that were answered in time
     work: float = 0.0  # s of applications
     wasted: float = 0.0  # of it, for requests that were not served
     most_attempts: int = 0
@@ -167,6 +171,12 @@
             continue
         answer = answers.get(first.call)
         into.work += attempt.work
+        end = answer.at if answer is not None else first.due
+        into.nobody += max(0.0, attempt.ran_at + attempt.work - max(attempt.ran_at, end))
+        if attempt.server.startswith("nucleo"):
+            into.inner += attempt.work
+            if answer is not None and answer.code == 200 and answer.at <= first.at + CLASSES[first.cls].aim:
+                into.used += attempt.work
         if answer is None or answer.code != 200 or answer.left:
             into.wasted += attempt.work
     into.late += [by for attempt, by in made.late(ALLOWANCE) if made.root(attempt.call) in mine]
@@ -183,6 +193,7 @@
         callers.random = Random(seed)  # the same calls at the same moments, on and off
         loop = asyncio.get_running_loop()
         spans = []
+        await callers.run(WARM, CALM * CAPACITY, wait=False)  # until the windows know what is usual
         for share in (CALM, OVER):
             begun = loop.time()
             calling = asyncio.create_task(callers.run(half, share * CAPACITY, wait=False))
@@ -219,6 +230,10 @@
             proof.figure(f"{word}_{name}_calls", part.calls, f"served {part.served}, refused {part.refused}")
             proof.figure(f"{word}_{name}_worth", part.worth, "of the worth asked for, in time")
             proof.figure(f"{word}_{name}_wasted", part.wasted / max(part.work, 1e-9), "of the work")
+            proof.figure(f"{word}_{name}_for_nobody", part.nobody / max(part.work, 1e-9), "of the work")
+            proof.figure(
+                f"{word}_{name}_inner", part.inner, f"s of the inner tier, {part.used:.2f} of it in time"
+            )
             proof.figure(f"{word}_{name}_begun_late", len(part.late),
                          f"works for nobody, the latest {max(part.late, default=0.0):.3f} s")  # fmt: skip
             proof.figure(
@@ -229,6 +244,7 @@
     (calm_on, over_on), (calm_off, over_off) = found[True], found[False]
     late = len(calm_on.late) + len(over_on.late)
     proof.claim(not late, f"{late} works were begun for nobody with budgets on")
+    proof.claim(over_on.nobody < over_off.nobody, "no less work was done for nobody with budgets on")
     proof.claim(over_on.wasted < over_off.wasted, "no less work was wasted with budgets on")
     proof.claim(calm_on.worth >= calm_off.worth - SAME, "the calm half lost worth with budgets on")
     proof.claim(over_on.worth > over_off.worth, "the overloaded half gained no worth with budgets on")
