--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -2,8 +2,8 @@
 
     python -m benchmarks.budgets [--short] [--seed N] [--json FILE]
 
-Two tiers of real sidecars on loopback, called without a proxy before them, budgets on and off in turns: a calm
-half, then an overloaded one in which servers of the inner tier hang. Applications pass no time on by
+Two tiers of real sidecars on loopback, called without a proxy before them, budgets on and off in turns: a
+calm half, then an overloaded one in which servers of the inner tier hang. Applications pass no time on by
 themselves, as those of the site, and copy the budget's field. Who worked on which request when is the
 applications' own record. Then loops by misroute over one, two and three tiers; seeded random histories of the
 accounts; CPU per call of a plain proxy, off and on, in turns; memory of the correlation.
@@ -227,8 +227,8 @@
         for name, part in (("calm", calm), ("over", over)):
             proof.figure(f"{word}_{name}_calls", part.calls, f"served {part.served}, refused {part.refused}")
             proof.figure(f"{word}_{name}_worth", part.worth, "of the worth asked for, in time")
-            proof.figure(f"{word}_{name}_wasted", part.wasted / max(part.work, 1e-9), "of the work")
-            proof.figure(f"{word}_{name}_for_nobody", part.nobody / max(part.work, 1e-9), "of the work")
+            proof.figure(f"{word}_{name}_wasted", part.wasted, f"s of {part.work:.2f} s of work")
+            proof.figure(f"{word}_{name}_for_nobody", part.nobody, "s of work after its request's end")
             proof.figure(
                 f"{word}_{name}_inner", part.inner, f"s of the inner tier, {part.used:.2f} of it in time"
             )
