Read again: filters are asked in one place, and a request's key is read once

Driver and inbound side each gathered tickets and taken fields by a loop of their own; ask() and taken_by() serve both. Budgets parsed the head again for the Idempotency-Key that the listener had read: Request has it. Turned.retry_after was set by nobody.

--- a/granitepoint/budgets/calls.py
+++ b/granitepoint/budgets/calls.py
@@ -138,11 +138,10 @@
 
     def sending(self, timeout: float) -> bytes:
         reference = secrets.token_hex(8)
-        key = next(
-            (value for name, value in header_lines(self.request.head) if name == b"idempotency-key"), b""
-        )
         budgets = self.filter.budgets
-        self.entry = budgets.correlation.add(reference, self.request.id, key, self.cls.name, self.account)
+        self.entry = budgets.correlation.add(
+            reference, self.request.id, self.request.key, self.cls.name, self.account
+        )
         return header.FIELD + b": " + header.write_reference(reference) + b"\r\n"
 
     def returned(self, exchange: Exchange, status: Status) -> None:
@@ -212,10 +211,7 @@
         reference = header.read_reference(value) if value is not None else None
         if value is not None and reference is None:
             return None  # something else stands there: not this sidecar's word
-        key = b""
-        if self.classes[request.cls].effect.value == "by_key":
-            key = next((v for name, v in header_lines(request.head) if name == b"idempotency-key"), b"")
-        return self.budgets.correlation.find(reference, request.id, key, request.cls)
+        return self.budgets.correlation.find(reference, request.id, request.key, request.cls)
 
 
 class OuterTicket:
@@ -278,9 +274,3 @@
     """Of its class's worth that a call has: what the outermost request is worth at the soonest that the call
     usually ends."""
     return min(MOST_SHARE, account.worth_at(end) / cls.worth) if cls.worth > 0 else 1.0
-
-
-def header_lines(head: bytes) -> list[tuple[bytes, bytes]]:
-    """Of a head as net.server made it: `name: value` lines after the first."""
-    pairs = (line.partition(b": ") for line in head.split(b"\r\n")[1:] if line)
-    return [(name, value) for name, _, value in pairs]
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -17,7 +17,7 @@
 from granitepoint.logic import Balancer
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import WALL_OFFSET, Discovery
-from granitepoint.net.filters import Filter, Ticket, Turned
+from granitepoint.net.filters import Filter, Ticket, Turned, ask, taken_by
 from granitepoint.net.limits import UPSTREAM_SHARE
 from granitepoint.net.listing import Listing, read_listing
 from granitepoint.net.server import Page, Pages, Reply, Request
@@ -80,7 +80,7 @@
     def __init__(self, config: Config, filters: tuple[Filter, ...] = ()) -> None:
         """`filters` see each call before the module, in this order."""
         self.filters = filters
-        self.takes = frozenset(name for filter in filters for name in filter.takes)
+        self.takes = taken_by(filters)
         self.dropped = DROPPED | self.takes
         self.loop = asyncio.get_running_loop()
         self.config, self.settings = config, config.settings
@@ -212,8 +212,7 @@
         if self.filters:
             turned = self._filter(call, narrowed)
             if turned is not None:
-                advice = ((b"retry-after", b"%.3f" % turned.retry_after),) if turned.retry_after else ()
-                reply.answer(503, advice, turned.text)
+                reply.answer(503, (), turned.text)
                 return None
             deadline = min(deadline, call.deadline)
         self.calls[number] = call
@@ -236,14 +235,11 @@
 
     def _filter(self, call: OpenCall, narrowed: dict[str, Any]) -> Turned | None:
         """Hands a new call to all filters; what they leave of it goes to the module."""
-        call.tickets = []
-        for filter in self.filters:
-            ticket = filter.arrival(call.request, lambda: self.give_up(call))
-            if isinstance(ticket, Turned):
-                for earlier in call.tickets:
-                    earlier.ended(True)
-                return ticket
-            call.tickets.append(ticket)
+        found = ask(self.filters, call.request, lambda: self.give_up(call))
+        if isinstance(found, Turned):
+            return found
+        call.tickets = found
+        for ticket in found:
             call.deadline = min(call.deadline, ticket.due)
             narrowed["share"] = narrowed.get("share", 1.0) * ticket.share
             if ticket.attempts:
--- a/granitepoint/net/filters.py
+++ b/granitepoint/net/filters.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -23,7 +23,6 @@
     """A refusal before any work: it never ran."""
 
     text: bytes
-    retry_after: float = 0.0  # s; 0: nothing is advised
 
 
 class Ticket(Protocol):
@@ -51,3 +50,21 @@
 
     def arrival(self, request: Request, give_up: Callable[[], None]) -> Ticket | Turned:
         """`give_up` ends the call at once, for want of anybody who waits for it."""
+
+
+def taken_by(filters: Iterable[Filter]) -> frozenset[bytes]:
+    """The fields that end at these filters."""
+    return frozenset(name for filter in filters for name in filter.takes)
+
+
+def ask(filters: Iterable[Filter], request: Request, give_up: Callable[[], None]) -> list[Ticket] | Turned:
+    """The tickets of all, in their order; where one turns the call away, those before it have ended."""
+    tickets: list[Ticket] = []
+    for filter in filters:
+        found = filter.arrival(request, give_up)
+        if isinstance(found, Turned):
+            for ticket in tickets:
+                ticket.ended(True)
+            return found
+        tickets.append(found)
+    return tickets
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -63,6 +63,7 @@
     head: bytes  # what goes on to a backend, but for the last headers
     body: bytes
     came: float  # monotonic
+    key: bytes = b""  # Idempotency-Key
     taken: tuple[tuple[bytes, bytes], ...] = ()  # fields that a filter takes; they are not in the head
 
 
@@ -196,6 +197,7 @@
         head=b"\r\n".join(lines) + b"\r\n",
         body=body,
         came=came,
+        key=key,
         taken=tuple(pair for pair in headers if pair[0] in takes) if takes else (),
     )
 
--- a/granitepoint/sidecar/inbound.py
+++ b/granitepoint/sidecar/inbound.py
@@ -12,7 +12,7 @@
 import time
 
 from granitepoint.interface import NEVER_RAN, Effect, ServerEntry, Status
-from granitepoint.net.filters import Filter, Headers, Ticket, Turned
+from granitepoint.net.filters import Filter, Headers, Ticket, Turned, ask, taken_by
 from granitepoint.net.limits import UPSTREAM_SHARE
 from granitepoint.net.listing import Listed, Listing, address
 from granitepoint.net.server import Page, Reply, Request, Server
@@ -66,7 +66,7 @@
         filters: tuple[Filter, ...] = (),
     ) -> None:
         self.filters = filters
-        self.takes = frozenset(name for filter in filters for name in filter.takes)
+        self.takes = taken_by(filters)
         self.dropped = DROPPED | self.takes
         self.loop = asyncio.get_running_loop()
         self.sidecar = sidecar
@@ -172,13 +172,12 @@
         due = min(request.came + min(request.budget, cls.deadline) - MARGIN, self.end_by)
         held = Held(request, reply, due)
         worth = cls.worth
-        for filter in self.filters:
-            ticket = filter.arrival(request, lambda: None)  # who waits for it is its caller alone
-            if isinstance(ticket, Turned):
-                self._ended(held, True)
-                reply.answer(503, self._advice(now), ticket.text)
-                return None
-            held.tickets.append(ticket)
+        found = ask(self.filters, request, lambda: None)  # who waits for it is its caller alone
+        if isinstance(found, Turned):
+            reply.answer(503, self._advice(now), found.text)
+            return None
+        held.tickets = found
+        for ticket in found:
             held.due = due = min(due, ticket.due)
             worth *= ticket.share
         verdict, yields = self.admission.offer(held, worth, due, now)
