Read again: one way to make a registrar and a key file, a method that nobody called is gone

register.serve and the assembly built a Registrar alike; the chain and the proof of budgets wrote a key file alike; Host.restart_sidecar was called by nobody.

--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -13,7 +13,6 @@
 
 import argparse
 import asyncio
-import os
 import sys
 import tempfile
 import time
@@ -30,7 +29,7 @@
 from granitepoint.budgets.correlation import BYTES_EACH, Correlation
 from rigs.backend import Backend
 from rigs.callers import GIVE_UP
-from rigs.chain import ATTEMPTS, CLASSES, SERVICES, SLOTS, Chain, running
+from rigs.chain import ATTEMPTS, CLASSES, SERVICES, SLOTS, Chain, key_file, running
 from rigs.kit import until
 from rigs.ledger import Ledger
 from rigs.padron import Padron, entry
@@ -297,9 +296,7 @@
     for item in known:
         padron.put(item)
     with tempfile.TemporaryDirectory() as folder:
-        keys = Path(folder) / "keys"
-        keys.touch(0o600)
-        keys.write_text(f"k1 {os.urandom(16).hex()}\n")
+        keys = key_file(Path(folder))
         table = f'[budgets]\nkeys_file = "{keys}"\nedge = true\n'
         async with (
             proxy("off", padron.address, known) as off,
--- a/granitepoint/assembly.py
+++ b/granitepoint/assembly.py
@@ -152,12 +152,9 @@
 
 def registrar(membership: Membership, registration: Registration, since_ms: int) -> Registrar:
     """Keeps this machine's server registered; not started yet."""
-    from random import Random
+    from granitepoint.membership.register import registrar_of
 
-    from granitepoint.membership.register import Registrar, node_of
-
-    node = node_of(registration, since_ms)
-    return Registrar(membership, node, Random(f"{node.name} {since_ms}"))
+    return registrar_of(membership, registration, since_ms)
 
 
 def settle() -> None:
--- a/granitepoint/membership/register.py
+++ b/granitepoint/membership/register.py
@@ -195,13 +195,18 @@
     )
 
 
+def registrar_of(settings: Membership, registration: Registration, since_ms: int) -> Registrar:
+    """Not started yet."""
+    node = node_of(registration, since_ms)
+    return Registrar(settings, node, Random(f"{node.name} {since_ms}"))
+
+
 async def serve(settings: Membership, registration: Registration) -> None:
     loop = asyncio.get_running_loop()
     term = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, term.set)
-    node = node_of(registration, int(time.time() * 1000))
-    registrar = Registrar(settings, node, Random(f"{node.name} {node.since_ms}"))
+    registrar = registrar_of(settings, registration, int(time.time() * 1000))
     registrar.start()
     await term.wait()
     await registrar.leave(registration.drain)
--- a/rigs/chain.py
+++ b/rigs/chain.py
@@ -110,6 +110,14 @@
         return sum(host.log.read_text().count(": loop: ") for host in self.world.hosts)
 
 
+def key_file(folder: Path) -> Path:
+    """One key for the processes of a run."""
+    keys = folder / "keys"
+    keys.touch(0o600)
+    keys.write_text(f"k1 {os.urandom(16).hex()}\n")
+    return keys
+
+
 @contextlib.asynccontextmanager
 async def running(
     tiers: int = 2,
@@ -122,9 +130,7 @@
 ) -> AsyncIterator[Chain]:
     """`older`: tiers whose sidecars know of no budgets."""
     with tempfile.TemporaryDirectory() as folder:
-        keys = Path(folder) / "keys"
-        keys.touch(0o600)
-        keys.write_text(f"k1 {os.urandom(16).hex()}\n")
+        keys = key_file(Path(folder))
         usual = habits or Habits(passes_time=False, copies_budget=True, services=SERVICES)
         settings = None
         if budgets:
--- a/rigs/world.py
+++ b/rigs/world.py
@@ -128,11 +128,6 @@
         self.process.terminate()
         self.code = await self.process.wait()
 
-    async def restart_sidecar(self) -> None:
-        await self.stop_sidecar()
-        await self.start_sidecar()
-        self.world.put(self.sidecar.tier, self.listed)
-
     async def restart_application(self, away: float) -> None:
         """As a process that dies and comes back cold, without a word to anybody."""
         self.application.stop()
@@ -155,9 +150,10 @@
         habits: Habits,
         routes: Mapping[str, str],
         skews: Mapping[str, list[str]],
+        older: frozenset[str],
     ) -> None:
         self.folder, self.habits, self.routes, self.skews = folder, habits, routes, skews
-        self.older: frozenset[str] = frozenset()  # tiers whose sidecars know of no budgets
+        self.older = older  # tiers whose sidecars know of no budgets
         self.parents: dict[str, str] = {}  # a call that an application made, and the one that it made it for
         self.ledger = Ledger()
         self.padrones: dict[tuple[str, str], Padron] = {}  # by asker and tier
@@ -255,14 +251,13 @@
     rigs.skew
     for some sidecars; `edge`: the operator's file of the proxy before the first tier."""
     with tempfile.TemporaryDirectory() as text:
-        made = World(description, Path(text), habits or Habits(), routes or {}, skews or {})
-        made.older = older
+        made = World(description, Path(text), habits or Habits(), routes or {}, skews or {}, older)
         try:
             for _, backend in made.plain:
                 await backend.start()
             await asyncio.gather(*(host.start() for host in made.hosts))
             padron = await made.padron(EDGE, made.entry)
-            known = [item for item in made.padrones[EDGE, made.entry].entries.values()]
+            known = list(made.padrones[EDGE, made.entry].entries.values())
             async with proxy(EDGE, padron, known, edge, more=made.edge_settings()) as program:
                 mix = [made.classes[name] for name in made.description.tiers[made.entry].classes]
                 made.edge = program
