Upgrades: a second process beside the first, and no request that ends at the door

A release of the proxy itself killed the second process (address in use) and lost 6 to 27 requests. Both now listen with SO_REUSEPORT; at SIGTERM the old one has the kernel steer new connections to the other (classic BPF, no rights), takes what was queued, and closes each kept connection with its next answer. Locks on $TMPDIR tell who follows whom; while two run each takes half of the descriptors.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -25,6 +25,7 @@
 LONGEST_WAIT = 3.0  # s of the longest deadline that the platform waits for after SIGTERM
 KILL_SPARE = 0.7  # s that it waits beyond that
 SPARE = 0.4  # s before its SIGKILL by which all is answered
+LAST_UNUSED = 1.5  # s after SIGTERM for which callers may use kept connections where another process follows
 WIND_DOWN = 1.0  # s before that in which each answer is the last on its connection
 
 
@@ -34,10 +35,16 @@
     its own, the rest close, and the process ends when nothing is owed any more."""
     longest = max(cls.deadline for cls in proxy.driver.settings.classes)
     answered_by = min(longest, LONGEST_WAIT) + KILL_SPARE - SPARE
-    proxy.driver.end_by = time.monotonic() + answered_by
-    await asyncio.sleep(LAST_ACCEPT)
-    proxy.server.stop_listening()
-    await asyncio.sleep(max(0.0, answered_by - WIND_DOWN - LAST_ACCEPT))
+    begun = time.monotonic()
+    proxy.driver.end_by = begun + answered_by
+    if proxy.operations is not None and proxy.operations.followed:
+        await proxy.operations.hand_over()
+        idle_from = LAST_UNUSED
+    else:
+        await asyncio.sleep(LAST_ACCEPT)
+        proxy.server.stop_listening()
+        idle_from = answered_by - WIND_DOWN
+    await asyncio.sleep(max(0.0, begun + idle_from - time.monotonic()))
     await proxy.finish()
 
 
--- a/granitepoint/assembly.py
+++ b/granitepoint/assembly.py
@@ -90,7 +90,7 @@
             subsystem.start()
         if self.operations is not None:
             await self.operations.start(self.driver, self.server)
-        await self.server.listen(*self.config.listen)
+        await self.server.listen(*self.config.listen, beside=self.operations is not None)
 
     def move(self, discovery: Address) -> None:
         log.info("reload: discovery is at %s:%d", *discovery)
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -133,6 +133,10 @@
         self.upstreams.apply(known)
         self.events.append(self._server_list(known, api.ListKind.SAVED))
 
+    def set_bounds(self, share: float) -> None:
+        """On connections to backends, where this process has this share of its descriptors."""
+        self.upstreams.most_open = int(self.config.sockets * share * UPSTREAM_SHARE)
+
     def start(self) -> None:
         self._flush()
 
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -463,10 +463,8 @@
         self.effects, self.handler = effects, handler
         self.pages, self.never_ran, self.takes = pages, never_ran, takes
         self.tally = tally
-        others = int(sockets * UPSTREAM_SHARE) + min(RESERVE, sockets // 10) + reserved
-        by_memory = int(max(1.0, memory_mb - BASE_MEMORY) / CALLER_MEMORY)
-        self.most_ever = max(8, min(sockets - others, by_memory))
-        self.most_open = self.most_ever - int(self.most_ever * EXTRA_SHARE)
+        self.sockets, self.memory_mb, self.reserved = sockets, memory_mb, reserved
+        self.set_bounds(1.0)
         self.connections: set[ClientConnection] = set()
         self.fresh: dict[ClientConnection, None] = {}  # owe a whole request
         self.kept: dict[ClientConnection, None] = {}  # answered, and asking nothing
@@ -475,6 +473,14 @@
         self.listener: asyncio.Server | None = None
         self.sweep_due = 0.0
 
+    def set_bounds(self, share: float) -> None:
+        """On the callers' connections, where this process has this share of its descriptors and memory."""
+        sockets, memory_mb = int(self.sockets * share), self.memory_mb * share
+        others = int(sockets * UPSTREAM_SHARE) + min(RESERVE, sockets // 10) + self.reserved
+        by_memory = int(max(1.0, memory_mb - BASE_MEMORY) / CALLER_MEMORY)
+        self.most_ever = max(8, min(sockets - others, by_memory))
+        self.most_open = self.most_ever - int(self.most_ever * EXTRA_SHARE)
+
     def place(self, connection: ClientConnection, table: dict[ClientConnection, None] | None) -> None:
         if connection.table is not None:
             del connection.table[connection]
@@ -512,9 +518,16 @@
         """Requests taken that have not ended."""
         return sum(1 for connection in self.connections if connection.answering and connection.cls)
 
-    async def listen(self, host: str, port: int) -> int:
+    @property
+    def fileno(self) -> int:
+        """Of the listening socket."""
+        assert self.listener is not None
+        return self.listener.sockets[0].fileno()
+
+    async def listen(self, host: str, port: int, beside: bool = False) -> int:
+        """`beside`: another process may listen there too."""
         self.listener = await self.loop.create_server(
-            lambda: ClientConnection(self), host, port, backlog=1024
+            lambda: ClientConnection(self), host, port, backlog=1024, reuse_port=beside or None
         )
         self._sweep_later()
         return int(self.listener.sockets[0].getsockname()[1])
--- a/granitepoint/operations/office.py
+++ b/granitepoint/operations/office.py
@@ -18,23 +18,28 @@
 from granitepoint.net.driver import Driver
 from granitepoint.net.listing import Address, Listing
 from granitepoint.net.server import Server
+from granitepoint.operations import steering
 from granitepoint.operations.console import MOST_CONSOLE, Console, Word
 from granitepoint.operations.figures import Figures
+from granitepoint.operations.generations import Generations
 from granitepoint.operations.maintenance import Maintenance, Unknown
 from granitepoint.operations.retune import SETTLING, Unusable, meanwhile, read_file
 from granitepoint.operations.store import Store
 
 log = logging.getLogger(__name__)
 
+SHARE_OF_TWO = 0.5  # of the limits, while a second process runs
+MOST_WAIT = 3.0  # s for which a second process waits for its list before it listens
+QUEUED = 0.25  # s for which connections that were dealt to a listener before may still come up
 LOOK = 0.1  # s between looks at the record: a call at another process of this proxy holds here too
 YES, NO_SUCH = Word(200, "ok\n"), Word(404, "no such backend\n")
 NOT_READY, NOT_KEPT = Word(503, "not ready\n"), Word(503, "the record could not be written\n")
 
 
-def record_path(config: Config) -> Path:
+def own_path(config: Config, what: str) -> Path:
     """Of this proxy alone, where several share a $TMPDIR."""
     mark = hashlib.blake2b(f"{config.name} {config.listen}".encode(), digest_size=8).hexdigest()
-    return Path(tempfile.gettempdir()) / f"granitepoint-{mark}.maintenance"
+    return Path(tempfile.gettempdir()) / f"granitepoint-{mark}.{what}"
 
 
 class Operations:
@@ -43,13 +48,16 @@
     descriptors = MOST_CONSOLE + 1  # of the console
 
     def __init__(self, config: Config) -> None:
+        """Raises OSError where $TMPDIR can't be written."""
         self.config = config
         self.running = config.raw
         self.maintenance = Maintenance(WALL_OFFSET, config.settings.cold_for)
         self.figures = Figures()
         for cls in config.settings.classes:
             self.figures.known(cls.name)
-        self.store = Store(record_path(config))
+        self.store = Store(own_path(config, "maintenance"))
+        self.generations = Generations(own_path(config, "process"))
+        self.beside = False  # another process of this proxy runs
         self.console = Console(self)
         self.driver: Driver | None = None
         self.server: Server | None = None
@@ -63,8 +71,28 @@
         assert self.config.console is not None
         await self.console.listen(self.config.console)
         self._look()
+        if self.beside:
+            # What is dealt to this process is served from its first moment, or the one before had better.
+            due = time.monotonic() + MOST_WAIT
+            while not driver.upstreams.ready and time.monotonic() < due:
+                await asyncio.sleep(LOOK)
+
+    @property
+    def followed(self) -> bool:
+        """Whether the process that is to take this one's place runs."""
+        return self.generations.successor()
+
+    async def hand_over(self) -> None:
+        """The listener's end, where another process listens at its address: nothing that was dealt to this
+        one is left unread, and callers come back to the other."""
+        assert self.server is not None
+        self.server.draining = True
+        steering.to_the_second(self.server.fileno)
+        await asyncio.sleep(QUEUED)
+        self.server.stop_listening()
 
     def stop(self) -> None:
+        self.generations.leave()
         self.console.stop()
         for timer in (self.looking, self.retuning):
             if timer is not None:
@@ -77,6 +105,19 @@
     def _look(self) -> None:
         self.looking = asyncio.get_running_loop().call_later(LOOK, self._look)
         self._news()
+        beside = self.generations.predecessor() or self.generations.successor()
+        if beside != self.beside:
+            self.beside = beside
+            self._share(SHARE_OF_TWO if beside else 1.0)
+
+    def _share(self, share: float) -> None:
+        """The limits hold for both processes together."""
+        assert self.driver is not None and self.server is not None
+        log.info("%s", "another process of this proxy runs beside" if self.beside else "it runs alone")
+        self.server.set_bounds(share)
+        self.driver.set_bounds(share)
+        if not self.beside and self.server.listener is not None:
+            steering.by_hash(self.server.fileno)  # the program of the process before outlives it
 
     def _news(self) -> None:
         """What another process of this proxy was told."""
--- /dev/null
+++ b/tests/operations/test_upgrades.py
@@ -0,0 +1,186 @@
+"""A second process in the place of the first: locks, steering, and no request that ends at the door."""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from netkit import PATIENCE, Backend, Caller, Discovery, config, endpoint, listing, run, start_program
+from test_console import Staffed
+
+from granitepoint.operations import steering
+from granitepoint.operations.generations import Generations
+from rigs.program import free_port
+
+DEALT = 40  # connections in each half of the steering test
+
+
+def test_each_process_knows_who_came_before_and_after(tmp_path: Path) -> None:
+    stem = tmp_path / "x.process"
+    first = Generations(stem)
+    assert not first.successor() and not first.predecessor()
+    second = Generations(stem)
+    assert (first.number, second.number) == (1, 2)
+    assert first.successor() and second.predecessor() and not second.successor()
+    first.leave()
+    assert not second.predecessor()
+    third = Generations(stem)
+    assert third.number == 3 and second.successor()
+    second.leave()
+    third.leave()
+    assert list(tmp_path.iterdir()) == []
+
+
+def test_a_process_that_died_counts_no_more_though_its_file_is_left(tmp_path: Path) -> None:
+    stem = tmp_path / "x.process"
+    code = f"from granitepoint.operations.generations import Generations as G; from pathlib import Path; \
+import os; G(Path({str(stem)!r})); os._exit(9)"
+    assert subprocess.run([sys.executable, "-c", code], timeout=PATIENCE).returncode == 9
+    left = stem.with_name("x.process.1")
+    assert left.exists()
+    here = Generations(stem)
+    assert here.number == 2 and not here.predecessor() and not left.exists()
+    other = Generations(stem)
+    os.close(other.held)  # as its end would
+    assert stem.with_name("x.process.3").exists() and not here.successor()
+    here.leave()
+
+
+def test_a_file_of_another_name_is_no_process(tmp_path: Path) -> None:
+    stem = tmp_path / "x.process"
+    for name in ("x.process.one", "x.process", "y.process.7"):
+        (tmp_path / name).write_text("")
+    made = Generations(stem)
+    assert made.number == 1
+    with open(tmp_path / "x.process", "rb") as file:
+        fcntl.flock(file, fcntl.LOCK_EX)
+        assert not made.successor() and not made.predecessor()
+    made.leave()
+
+
+def listener(port: int = 0) -> socket.socket:
+    made = socket.socket()
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    made.bind(("127.0.0.1", port))
+    made.listen(256)
+    made.setblocking(False)
+    return made
+
+
+def dealt(to: socket.socket) -> int:
+    count = 0
+    while True:
+        try:
+            to.accept()[0].close()
+        except BlockingIOError:
+            return count
+        count += 1
+
+
+def test_new_connections_go_to_the_second_listener_and_to_the_last_one_left() -> None:
+    """Each step counts who got what; by hash both get some (the chance of none is one in 2 to the 40)."""
+    with listener() as one:
+        port = one.getsockname()[1]
+
+        def connect() -> None:
+            for _ in range(DEALT):
+                socket.create_connection(("127.0.0.1", port)).close()
+
+        two = listener(port)
+        connect()
+        assert dealt(one) and dealt(two)
+        assert steering.to_the_second(one.fileno())
+        connect()
+        assert (dealt(one), dealt(two)) == (0, DEALT)
+        two.close()  # it crashed: nobody is second
+        connect()
+        assert dealt(one) == DEALT
+        with listener(port) as three:
+            connect()
+            assert (dealt(one), dealt(three)) == (0, DEALT)
+            assert steering.by_hash(three.fileno())
+            connect()
+            assert dealt(one) and dealt(three)
+            assert not steering.by_hash(three.fileno())  # there is none any more
+
+
+def test_under_load_an_upgrade_loses_no_request_and_takes_over_what_is_out() -> None:
+    """Callers that use connections once and callers that keep them, over three upgrades in a row."""
+
+    async def test() -> None:
+        discovery, one, two = await Discovery().start(), await Backend().start(), await Backend().start()
+        known = listing(1, endpoint("s-1", one.address), endpoint("s-2", two.address))
+        listen = free_port()
+        with tempfile.TemporaryDirectory() as folder:
+            raw = config(discovery.address, known, f"127.0.0.1:{listen}")
+            running: list[Staffed] = []
+
+            async def start() -> Staffed:
+                console = free_port()
+                raw["console"] = f"127.0.0.1:{console}"
+                process = await start_program(raw, folder, TMPDIR=folder)
+                made = Staffed(process, ("127.0.0.1", listen), Path(folder) / "config.json", raw)
+                made.console = "127.0.0.1", console
+                running.append(made)
+                async with asyncio.timeout(PATIENCE):
+                    while True:
+                        try:
+                            if (await made.ask("GET /healthcheck")).code == 200:
+                                return made
+                        except OSError:
+                            await asyncio.sleep(0.02)
+
+            codes: list[int] = []
+            stop = asyncio.Event()
+
+            async def keeps(name: str) -> None:
+                caller: Caller | None = None
+                n = 0
+                while not stop.is_set():
+                    if caller is None:
+                        caller = Caller(*await asyncio.open_connection("127.0.0.1", listen))
+                    answer = await caller.call("stock", f"{name}{n}")
+                    codes.append(answer.code)
+                    n += 1
+                    if answer.headers.get("connection") == "close" or name.startswith("once"):
+                        caller.writer.close()
+                        caller = None
+                    await asyncio.sleep(0.005)
+
+            try:
+                node = await start()
+                assert (await node.ask("POST /backends/s-1/maint")).code == 200
+                callers = [
+                    asyncio.create_task(keeps(f"{kind}{n}")) for kind in ("once", "kept") for n in range(4)
+                ]
+                for _ in range(3):
+                    old, node = node, await start()
+                    assert (await node.figures())["hosts_down"] == 1
+                    old.terminate()
+                    assert await old.code() == 0
+                stop.set()
+                await asyncio.gather(*callers)  # none met a connection that ended on its request
+                assert len(codes) > 100 and set(codes) == {200}
+                assert one.count == 0
+                assert (await node.ask("POST /backends/s-1/ready")).code == 200
+                caller = Caller(*await asyncio.open_connection("127.0.0.1", listen))
+                assert (await caller.call("stock", "back")).code == 200
+                assert one.count == 1
+                names = {path.name.rpartition(".")[2] for path in Path(folder).glob("granitepoint-*")}
+                assert names == {"maintenance", str(len(running))}
+            finally:
+                for made in running:
+                    if made.process.returncode is None:
+                        made.process.send_signal(signal.SIGKILL)
+                        await made.process.wait()
+                await one.stop()
+                await two.stop()
+
+    run(test())
