Long answers and bodies are passed on as they come, slow peers are given time

Answers longer than 64 KiB (or of unknown length after 50 ms) go on as they come, with backpressure; bodies are held up to 4 MiB while a pool has room, so they can be sent again, and passed on beyond it, with one attempt. The budget's clock starts with the last byte.

The sidecar's inbound side holds to 64 KiB.

--- a/granitepoint/assembly.py
+++ b/granitepoint/assembly.py
@@ -17,7 +17,7 @@
 from granitepoint.net.config import Config
 from granitepoint.net.driver import Driver
 from granitepoint.net.listing import Address
-from granitepoint.net.server import Server
+from granitepoint.net.server import MOST_LENGTH, Server
 
 if TYPE_CHECKING:
     from granitepoint.budgets.calls import Budgets
@@ -81,6 +81,7 @@
             takes=self.driver.takes,
             tally=self.operations.figures if self.operations is not None else None,
             reserved=self.operations.descriptors if self.operations is not None else 0,
+            most_body=MOST_LENGTH,
         )  # fmt: skip
 
     async def start(self) -> None:
@@ -106,7 +107,7 @@
 
     async def finish(self) -> None:
         """Each answer from now on is the last on its connection; returns when nothing is owed any more."""
-        await wind_down(self.server, lambda: bool(self.driver.calls))
+        await wind_down(self.server, lambda: bool(self.driver.calls) or self.server.inflight > 0)
 
     def stop(self) -> None:
         if self.operations is not None:
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -917,6 +917,10 @@
         now = self.now
         if status in (Status.CANCELLED, Status.MOOT):
             return
+        if attempt.call.streaming:
+            if status in (Status.OK, Status.ERROR, Status.FULL):
+                servers.heard(server, now)
+            return
         if self.stalled and status in (Status.OK, Status.TIMEOUT):
             # The instance stood still: what looks slow or overdue was answered long ago. Guards against
             # reading one's own pause as slow servers, closing W and ejecting them. Harm: what was slow
@@ -1066,6 +1070,8 @@
         total = counted = 0.0
         stuck: list[Attempt] = []
         for attempt in self.out.values():
+            if attempt.call.streaming:
+                continue  # how long that takes is its peers' matter
             age = now - attempt.sent_at
             cls = attempt.call.cls
             if attempt.counted:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -15,13 +15,14 @@
 
 from granitepoint import interface as api
 from granitepoint.logic import Balancer
+from granitepoint.net.bodies import Body
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import WALL_OFFSET, Discovery
 from granitepoint.net.filters import Filter, Ticket, Turned, ask, taken_by
 from granitepoint.net.limits import UPSTREAM_SHARE
 from granitepoint.net.listing import Listing, read_listing
 from granitepoint.net.server import Page, Pages, Reply, Request
-from granitepoint.net.upstream import HOP_BY_HOP, IDLE_SHARE, LATE, ONE_TURN, Exchange, Upstreams
+from granitepoint.net.upstream import HOP_BY_HOP, IDLE_SHARE, LATE, ONE_TURN, STALLED, Exchange, Upstreams
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +32,7 @@
 LAG_FADE = 0.995  # of the measured loop lag that is kept at each timer
 MOST_PROBES = 32  # at once
 MOST_FIGURE = 1e6  # of a report; more is no load, and would outweigh all other reports
+WRITTEN_AT_ONCE = 64 * 1024  # bytes of a body that is joined to its head; a longer one is not copied
 PROBE_TIMEOUT = 0.2  # s; a report that comes later is of no use
 DROPPED = HOP_BY_HOP | {b"x-load-report", b"x-rejected"}
 READY, NOT_READY = Page(200, b"ok\n"), Page(503, b"not ready\n")
@@ -236,6 +238,9 @@
         # No client of a class waits longer than its deadline, whatever it says.
         deadline = request.came + min(request.budget, self.deadlines[request.cls]) - margin
         call = OpenCall(number, request, reply, min(deadline, self.end_by))
+        if not request.body.whole:  # its time begins with its last byte
+            call.deadline = self.end_by
+            request.body.on_whole = lambda: self._whole(call)
         narrowed: dict[str, Any] = {}
         if self.filters:
             turned = self._filter(call, narrowed)
@@ -245,8 +250,8 @@
             deadline = min(deadline, call.deadline)
         self.calls[number] = call
         self.ids.add(request.id)
+        self._set_timeout(call)
         now = time.monotonic()
-        call.timer = self.loop.call_later(max(0.0, call.deadline - now), self._overdue, call)
         self._push(
             api.Arrival(
                 call=number,
@@ -261,6 +266,24 @@
         )
         return call
 
+    def _set_timeout(self, call: OpenCall) -> None:
+        if call.timer is not None:
+            call.timer.cancel()
+        if call.deadline < math.inf:
+            wait = max(0.0, call.deadline - time.monotonic())
+            call.timer = self.loop.call_later(wait, self._overdue, call)
+
+    def _whole(self, call: OpenCall) -> None:
+        """The last byte of a request that was handed on early has come."""
+        if not call.open:
+            return
+        request = call.request
+        budget = min(request.budget, self.deadlines.get(request.cls, request.budget))
+        call.deadline = min(call.deadline, request.came + budget - LEAST_MARGIN)
+        self._set_timeout(call)
+        if call.exchange is not None:
+            call.exchange.extend(call.deadline)
+
     def _filter(self, call: OpenCall, narrowed: dict[str, Any]) -> Turned | None:
         """Hands a new call to all filters; what they leave of it goes to the module."""
         found = ask(self.filters, call.request, lambda: self.give_up(call))
@@ -284,8 +307,8 @@
             exchange = call.exchange
             self._settle(call, False)
             self._push(api.Gone(call.number))
-            if call.tickets and exchange is not None:
-                exchange.cancel()  # what knows of budgets stops working for it
+            if exchange is not None and (call.tickets or not call.request.body.whole):
+                exchange.cancel()  # what knows of budgets stops working for it; and the rest will never come
 
     def _overdue(self, call: OpenCall, late: bool = False) -> None:
         """The module has said nothing in time: a failure, unless a refusal is provably harmless."""
@@ -337,8 +360,8 @@
                 log.error("call %d: a second attempt while one is out", call.number)
             self._push(api.Outcome(call.number, number, action.server, api.Status.MOOT, 0.0, False))
             return
+        request, body = call.request, call.request.body
         timeout = min(action.timeout, call.deadline - time.monotonic())
-        request = call.request
         more = b""
         for ticket in call.tickets:
             lines = ticket.sending(timeout)
@@ -346,15 +369,28 @@
                 self._push(api.Outcome(call.number, number, action.server, api.Status.MOOT, 0.0, False))
                 return
             more += lines
-        head = request.head + more + b"x-budget: %du\r\n\r\n" % max(1, int(timeout * 1e6))
+        data = request.head + more + b"x-budget: %du\r\n\r\n" % max(1, int(timeout * 1e6))
+        payload: Body | None = None
+        if body.size <= WRITTEN_AT_ONCE and body.whole and body.kept:
+            data = b"".join([data, *body.parts])
+        else:
+            payload = body
+        if not body.whole:
+            timeout = STALLED  # without a step forward; its own time begins later
 
         def may_start() -> bool:
-            return call.open and upstream.serving
+            if not (call.open and upstream.serving):
+                return False
+            if not body.kept:  # what is sent of it is gone: there is no second attempt
+                self._push(api.StreamStarted(call.number, number, action.server))
+            return True
 
         def done(exchange: Exchange) -> None:
             self._attempt_ended(call, number, action.server, exchange)
 
-        exchange = Exchange(upstream, head + request.body, max(0.0, timeout), may_start, done, counts=True)
+        exchange = Exchange(
+            upstream, data, max(0.0, timeout), may_start, done, counts=True, payload=payload
+        )
         call.exchange = self.out[call.number] = exchange
         self.upstreams.start(exchange)
 
@@ -371,7 +407,11 @@
             self.ids.discard(call.request.id)
         elif status is api.Status.OK:
             headers = [pair for pair in exchange.headers if pair[0] not in self.dropped]
-            self._close(call, 200, headers, exchange.body)
+            if exchange.source is None:
+                self._close(call, 200, headers, exchange.body)
+            else:  # the call is over as far as it is decided on; the answer goes on by itself
+                self._settle(call, True)
+                call.reply.stream(headers, exchange.length, exchange.source)
         report = None
         if self.settings.reports == "answer":
             reports = [value for name, value in exchange.headers if name == b"x-load-report"]
--- a/granitepoint/sidecar/inbound.py
+++ b/granitepoint/sidecar/inbound.py
@@ -239,10 +239,10 @@
         request = held.request
         left = held.due - now
         more = b"".join(ticket.sending(left) or b"" for ticket in held.tickets)
-        body = b"%s%sx-budget: %du\r\n\r\n%s" % (request.head, more, max(1, int(left * 1e6)), request.body)
+        head = b"%s%sx-budget: %du\r\n\r\n" % (request.head, more, max(1, int(left * 1e6)))
         held.exchange = Exchange(
             self.application,
-            body,
+            b"".join([head, *request.body.parts]),
             max(0.0, left),
             lambda: held.open,
             lambda exchange: self._done(held, exchange),
