--- a/granitepoint/membership/source.py
+++ b/granitepoint/membership/source.py
@@ -64,6 +64,7 @@
         self.plain = False  # the service has no persistent watches
         self.unseen = True  # data may have changed while nothing was watched
         self.losses: dict[str, None] = {}  # gathered, to be judged at once
+        self.judged_from = 0.0  # when; what else is due sooner does not judge the first ones alone
         self.reads_done = 0
         self.children_read = 0  # times that all names were read
         self.flush_at: asyncio.TimerHandle | None = None
@@ -304,6 +305,8 @@
             self.merger.told(MEMBERSHIP, entries, time.monotonic())
             self._soon(0.0)
         if changes.lost:
+            if not self.losses:
+                self.judged_from = time.monotonic() + GATHER
             self.losses.update(dict.fromkeys(changes.lost))
             self._soon(GATHER)
         if changes.present or changes.lost:
@@ -316,7 +319,9 @@
     def _flush(self) -> None:
         self.flush_at = None
         now = time.monotonic()
-        if self.losses:
+        if self.losses and now < self.judged_from:
+            self._soon(self.judged_from - now)
+        elif self.losses:
             losses, self.losses = self.losses, {}
             self.merger.ended(MEMBERSHIP, losses, now, Word.LOST)
         self._give(now)
--- a/tests/membership/test_source.py
+++ b/tests/membership/test_source.py
@@ -21,6 +21,7 @@
 from granitepoint.membership.nodes import Node, listed
 from granitepoint.membership.source import Membership
 from granitepoint.membership.states import State
+from granitepoint.membership.tree import Changes
 from granitepoint.net.config import Config
 from granitepoint.net.discovery import WALL_OFFSET, Discovery
 from granitepoint.net.listing import Listing
@@ -312,6 +313,26 @@
     run(test)
 
 
+def test_a_node_that_comes_as_others_are_lost_does_not_have_the_first_losses_judged_alone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What comes is told at once; the losses are still gathered. Judged one by one, three would pass."""
+    monkeypatch.setattr(source, "GATHER", 0.5)
+
+    async def test() -> None:
+        async with watched() as (service, proxy):
+            lost = Changes(present=[], lost=["s-0"], hidden=[])
+            put(service, "s-new")
+            proxy.membership._soon(0.0)
+            proxy.membership._take(lost)
+            await proxy.serves({*NAMES, "s-new"})
+            proxy.membership._take(Changes(present=[], lost=NAMES[1:], hidden=[]))
+            await until(lambda: proxy.membership.merger.sources["membership"].held == len(NAMES), "held")
+            assert proxy.seat.serving() == {*NAMES, "s-new"}
+
+    run(test)
+
+
 def test_back_before_its_loss_was_judged_is_no_loss(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(source, "GATHER", 0.5)
 
