The window follows the capacity of the servers in use

W now scales with the weight of the servers in use, cold ones by how far they have surely come.

Also: the pool of held bodies is a quarter of what the program leaves, not of all memory.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -360,6 +360,13 @@
         self.starting = False
         self.window = max(self.least, self.window - self.step())
 
+    def rescale(self, ratio: float) -> None:
+        """The servers in use can hold that many times what they could. Guards against a window that has
+        shrunk to the few servers of a release and grows back by a tenth of a call at a time, while all but
+        the dearest calls are refused. Harm: a server that is listed before it is as good as its weight says
+        gets its part of calls for as long as W takes to shrink."""
+        self.window = max(self.least, self.window * ratio)
+
     def drop(self) -> float:
         if self.latency.count < FEWEST_SAMPLES or len(self.history) < FEWEST_SAMPLES or self.rate <= 0:
             return 0.0
@@ -534,6 +541,10 @@
                 rate = self.peak_rate * server.hint / total * ramp * share
                 server.tokens = min(1.0 + rate * STEP, server.tokens + rate * span)
 
+    def capacity(self, now: float) -> float:
+        """Of the pool, by weights and how far cold ones have surely come; ejected ones count, too."""
+        return sum(server.hint * self.ramp(server, now) for server in self.pool)
+
     @property
     def hint_mean(self) -> float:
         return sum(server.hint for server in self.pool) / len(self.pool)
@@ -702,6 +713,7 @@
         self.asks = settings.may_probe and ASK * settings.price_probe <= ASK_SPEND
         self.now = 0.0
         self.last_step = -1.0
+        self.capacity = 0.0  # of the servers in use, as W knows it
         self.stalled = False  # this batch comes after a pause of the instance's own
         self.timer_set = False
         self.watching = not settings.ask_for_list
@@ -1047,6 +1059,11 @@
         servers.fade(span)
         servers.idle_safe = min(self.settings.conn_idle, servers.idle_safe * (1 + span / IDLE_DOUBLES))
         self.probe(span)
+        capacity = servers.capacity(now)
+        if capacity > 0:
+            if self.capacity > 0:
+                admission.rescale(capacity / self.capacity)
+            self.capacity = capacity
         admission.set_cut()
 
     def watch(self) -> None:
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -22,7 +22,7 @@
 
 MOST_BODY = 64 * 1024  # bytes of a request that is held until it is whole
 MOST_KEPT = 4 << 20  # bytes of one that is held, while the pool has room, where it may be passed on
-POOL_SHARE = 0.25  # of the memory, for bodies over MOST_BODY that are held
+POOL_SHARE = 0.25  # of the memory beyond BASE_MEMORY, for bodies over MOST_BODY that are held
 READ = 64 * 1024  # bytes that are read at once
 MOST_HEAD = 32 * 1024  # bytes of its target and headers
 MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # bytes of a request as it comes, beyond 8 times its chunks' content
@@ -661,8 +661,9 @@
         """On the callers' connections, where this process has this share of its descriptors and memory."""
         sockets, memory_mb = int(self.sockets * share), self.memory_mb * share
         others = int(sockets * UPSTREAM_SHARE) + min(RESERVE, sockets // 10) + self.reserved
-        self.pool = int(memory_mb * POOL_SHARE * 1e6) if self.most_body > MOST_BODY else 0  # bytes
-        by_memory = int(max(1.0, memory_mb - BASE_MEMORY - self.pool / 1e6) / CALLER_MEMORY)
+        free = max(1.0, memory_mb - BASE_MEMORY)
+        self.pool = int(free * POOL_SHARE * 1e6) if self.most_body > MOST_BODY else 0  # bytes
+        by_memory = int((free - self.pool / 1e6) / CALLER_MEMORY)
         self.most_ever = max(8, min(sockets - others, by_memory))
         self.most_open = self.most_ever - int(self.most_ever * EXTRA_SHARE)
 
--- /dev/null
+++ b/tests/test_operation.py
@@ -0,0 +1,112 @@
+"""What daily operation asks of the module: new settings, servers put back, streams, a window that follows the
+servers in use."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import SAFE, Driver, drained, entries, only_send, sends, settings
+
+from granitepoint import (
+    Effect,
+    ListKind,
+    NewSettings,
+    Outcome,
+    Refuse,
+    RequestClass,
+    ServerList,
+    ServerState,
+    Status,
+    StreamStarted,
+    Tenant,
+)
+from granitepoint.logic import STEP
+
+
+def test_a_call_keeps_the_class_with_which_it_came_and_the_next_has_the_new_one() -> None:
+    """Its effect has become stricter meanwhile, and its attempts fewer: that binds the next call alone."""
+    driver = Driver(settings())
+    first = only_send(driver.arrive(1))
+    strict = RequestClass("safe", worth=10, aim=1.0, deadline=2.0, effect=Effect.ONCE)
+    driver.feed(NewSettings(settings(classes=[strict], max_attempts=1)))
+    assert sends(driver.settle(first, Status.RESET) + driver.wait(STEP), 1)  # repeated, as it may be
+    second = only_send(driver.arrive(2))
+    actions = driver.settle(second, Status.RESET) + driver.wait(STEP)
+    assert not sends(actions, 2)
+
+
+def test_a_class_that_is_gone_is_turned_away_and_one_that_appears_is_served() -> None:
+    driver = Driver(settings())
+    only_send(driver.arrive(1, "once"))
+    driver.feed(NewSettings(settings(classes=[SAFE, RequestClass("new", worth=1, aim=1.0, deadline=2.0)])))
+    assert driver.arrive(2, "once")[0] == Refuse(2)
+    only_send(driver.arrive(3, "new"))
+
+
+def test_what_was_learned_of_a_class_and_what_a_tenant_has_left_stays() -> None:
+    driver = Driver(settings(tenants=[Tenant("t", 10.0)]))
+    driver.settle(only_send(driver.arrive(1, tenant="t")), Status.OK, elapsed=0.4)
+    learned = driver.balancer.kinds["safe"].mean.value
+    left = driver.balancer.quota_left["t"]
+    driver.feed(NewSettings(settings(tenants=[Tenant("t", 20.0), Tenant("u", 5.0)])))
+    assert driver.balancer.kinds["safe"].mean.value == learned
+    assert driver.balancer.quota_left == {"t": left, "u": 5.0}
+
+
+def test_a_server_put_back_gets_the_next_call_though_it_is_cold_and_ejected() -> None:
+    driver = Driver(settings())
+    driver.balancer.servers.known[3].ejected_until = driver.now + 60
+    driver.feed(drained(3, ServerState.DRAINING))
+    back = entries(3, started_at=driver.now, wanted=True)
+    driver.feed(ServerList(ListKind.INCREMENTAL, back))
+    assert only_send(driver.arrive(1)).server == 3
+    assert only_send(driver.arrive(2)).server != 3  # it had its call, and is cold
+
+
+def test_a_server_put_back_that_drains_again_is_owed_nothing() -> None:
+    driver = Driver(settings())
+    driver.feed(ServerList(ListKind.INCREMENTAL, entries(3, started_at=driver.now, wanted=True)))
+    driver.feed(drained(3, ServerState.DRAINING))
+    assert only_send(driver.arrive(1)).server != 3
+    assert not driver.balancer.servers.known[3].wanted
+
+
+def test_a_stream_is_never_repeated_holds_no_place_and_its_age_says_nothing() -> None:
+    driver = Driver(settings(may_cancel=True))
+    out = [only_send(driver.arrive(n)) for n in (1, 2)]
+    latency = driver.balancer.admission.latency.count
+    for send in out:
+        driver.feed(StreamStarted(send.call, 0, send.server))
+    assert driver.balancer.busy == 0
+    driver.wait(1.5)  # many times the usual latency
+    assert driver.balancer.avoided == []
+    actions = driver.feed(Outcome(1, 0, out[0].server, Status.CONNECT_FAILED, 1.5, False))
+    assert not sends(actions) and [a for a in actions if isinstance(a, Refuse)]
+    driver.settle(out[1], Status.OK, elapsed=1.5)
+    assert driver.balancer.admission.latency.count == latency
+
+
+def test_the_window_follows_the_servers_in_use_through_a_release() -> None:
+    driver = Driver(settings(cold_from=1.0, cold_for=0.0))
+    driver.wait(2 * STEP)
+    driver.balancer.admission.window = 12.0
+    for server, left in ((1, 9.0), (2, 6.0), (3, 3.0)):
+        driver.feed(drained(server, ServerState.DRAINING))
+        driver.wait(2 * STEP)
+        assert driver.balancer.admission.window == pytest.approx(left)
+    driver.feed(ServerList(ListKind.INCREMENTAL, entries(5, 6, 7)))
+    driver.wait(2 * STEP)
+    assert driver.balancer.admission.window == pytest.approx(12.0)
+
+
+def test_a_cold_server_widens_the_window_as_it_warms_and_no_server_leaves_it() -> None:
+    driver = Driver(settings(cold_from=0.5, cold_for=10.0), servers=entries(1))
+    driver.wait(2 * STEP)
+    driver.balancer.admission.window = 4.0
+    driver.feed(ServerList(ListKind.INCREMENTAL, entries(2, started_at=driver.now)))
+    driver.wait(2 * STEP)
+    assert driver.balancer.admission.window == pytest.approx(6.0, abs=0.1)
+    driver.wait(10.5)
+    assert driver.balancer.admission.window == pytest.approx(8.0, abs=0.1)
+    driver.feed(ServerList(ListKind.FULL, []))
+    driver.wait(2 * STEP)
+    assert driver.balancer.admission.window == pytest.approx(8.0, abs=0.1)  # what it was for comes back
