Tests of where a budget ends: connecting, before the answer, window, caller gone

Four hard cases of the budgets' issue had no test of their own: out of time while connecting (503, nothing sent), between the last byte and the answer (ended on the wire, no second attempt), a keyed call whose window ends before its budget, an unsafe call whose caller leaves. Also that new settings reach the budgets' filters.

--- a/tests/budgets/test_calls.py
+++ b/tests/budgets/test_calls.py
@@ -16,6 +16,7 @@
 from granitepoint.budgets.header import Budget
 from granitepoint.budgets.usual import LEAST_SAMPLES
 from granitepoint.interface import Effect, RequestClass, Status
+from granitepoint.interface import Settings as ProxySettings
 from granitepoint.net.bodies import Body
 from granitepoint.net.filters import Turned
 from granitepoint.net.server import Request, read_request
@@ -430,3 +431,16 @@
     for file in (Path(__file__).parent.parent.parent / "granitepoint" / "budgets").glob("*.py"):
         text = file.read_text()
         assert "time.time" not in text and "datetime" not in text, file
+
+
+def test_a_class_that_new_settings_bring_is_known_and_one_under_way_ends_though_its_class_is_gone(
+    tmp_path: Path,
+) -> None:
+    made = Process(tmp_path)
+    ticket = made.call(None)
+    express = RequestClass("express", 1.0, 0.5, 1.0)
+    made.outer.retuned(ProxySettings([CLASSES["stock"], express], max_attempts=2))
+    returned(ticket, Ended())
+    ticket.ended(True)
+    assert made.outer.most == 2 and set(made.outer.classes) == {"stock", "express"}
+    assert made.outer.usual.keys() >= {"stock", "express", "canje"}
--- /dev/null
+++ b/tests/budgets/test_ends.py
@@ -0,0 +1,134 @@
+"""Where a budget ends, at a plain proxy with [budgets] on: while connecting, before the answer, beyond the
+window in which a keyed call may be sent again, and when its caller leaves."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import copy
+import socket
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from netkit import PATIENCE, SETTINGS, Backend, Caller, Discovery, Seen, endpoint, next_call, run, serve_ok
+
+from rigs.chain import key_file
+from rigs.program import Program, proxy
+
+
+@contextlib.asynccontextmanager
+async def edge(addresses: list[str], **changes: Any) -> AsyncIterator[Program]:
+    discovery = await Discovery().start()
+    known = [endpoint(f"s-{number}", address) for number, address in enumerate(addresses)]
+    with tempfile.TemporaryDirectory() as folder:
+        table = f'[budgets]\nkeys_file = "{key_file(Path(folder))}"\nedge = true\n'
+        async with proxy("n0", discovery.address, known, table, **changes) as program:
+            yield program
+    assert discovery.server is not None
+    discovery.server.close()
+
+
+async def caller_of(program: Program) -> Caller:
+    return Caller(*await asyncio.open_connection(*program.address))
+
+
+def test_a_budget_that_runs_out_while_connecting_is_a_refusal_and_nothing_was_sent() -> None:
+    """The listener's queue is full, so a connect neither comes up nor fails."""
+
+    async def test() -> None:
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            fill = [socket.socket() for _ in range(4)]
+            for one in fill:
+                one.setblocking(False)
+                one.connect_ex(listener.getsockname())
+            at = f"127.0.0.1:{listener.getsockname()[1]}"
+            limits = {**SETTINGS["policy_limits"], "connect_timeout": 5.0, "probes": False}
+            async with edge([at], policy_limits=limits) as program:
+                caller = await caller_of(program)
+                begun = time.monotonic()
+                assert (await caller.call("canje", "a" * 16, budget="300m")).code == 503
+                assert time.monotonic() - begun < 0.5
+            for one in fill:
+                one.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("cls", ["stock", "canje"])
+def test_a_budget_that_runs_out_before_the_answer_ends_its_attempt_and_begins_no_other(cls: str) -> None:
+    async def test() -> None:
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            """It has the last byte, and says nothing."""
+
+        backend = await Backend(behave).start()
+        async with edge([backend.address]) as program:
+            caller = await caller_of(program)
+            code = (await caller.call(cls, "a" * 16, budget="400m")).code
+            assert code in (502, 504) or (code == 503 and cls == "stock")
+            async with asyncio.timeout(PATIENCE):
+                await backend.closed.get()  # the attempt is given up on the wire, too
+            count = backend.count
+            await asyncio.sleep(0.4)
+            assert backend.count == count and (count == 1 or cls == "stock")
+        await backend.stop()
+
+    run(test())
+
+
+def test_an_unsafe_call_whose_caller_left_after_it_may_have_run_runs_no_second_time() -> None:
+    async def test() -> None:
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.1)
+            writer.transport.abort()  # after the caller has gone
+
+        one, two = await Backend(behave).start(), await Backend(behave).start()
+        async with edge([one.address, two.address]) as program:
+            caller = await caller_of(program)
+            caller.send("canje", "a" * 16, budget="5000m")
+            async with asyncio.timeout(PATIENCE):
+                while one.count + two.count == 0:
+                    await asyncio.sleep(0.005)
+            caller.writer.transport.abort()
+            await asyncio.sleep(0.5)
+            assert one.count + two.count == 1
+            assert (await (await caller_of(program)).call("nosuch", "b" * 16)).code == 404
+        await one.stop()
+        await two.stop()
+
+    run(test())
+
+
+@pytest.mark.parametrize(("window", "attempts"), [(0.2, 1), (6.0, 2)], ids=["over", "open"])
+def test_a_keyed_call_is_sent_again_within_its_window_however_much_its_budget_has_left(
+    window: float, attempts: int
+) -> None:
+    """Its connection breaks 0.4 s after it may have run; the budget has more than 3 s then."""
+
+    async def test() -> None:
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            if backend.count == 1:
+                await asyncio.sleep(0.4)
+                writer.transport.abort()
+            else:
+                await serve_ok(seen, writer)
+
+        grades = copy.deepcopy(SETTINGS["grades"])
+        for grade in grades:
+            if grade["name"] == "reserva":
+                grade["window"] = window
+        backend = await Backend(behave).start()
+        async with edge([backend.address], grades=grades) as program:
+            caller = await caller_of(program)
+            caller.send("reserva", "a" * 16, budget="4000m")
+            await next_call(backend)
+            code = (await caller.answer()).code
+            assert (code == 200) == (attempts == 2) and backend.count == attempts
+        await backend.stop()
+
+    run(test())
