--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -405,3 +405,25 @@
     body.finish()
     assert told == ["more", "more", "room", "whole", "more"]
     assert body.length is None and Body.of(b"abc").length == 3
+
+
+def test_the_time_of_a_body_that_was_passed_on_begins_with_its_last_byte() -> None:
+    """Its upload takes longer than its budget; a backend that then says nothing is given just that."""
+
+    async def test() -> None:
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            """It has all of it, and says nothing."""
+
+        async with proxy({"s-1": Backend(behave)}) as node:
+            caller, loop = await node.caller(), asyncio.get_running_loop()
+            length = 6 * MB
+            caller.writer.write(post("a" * 16, length, budget="500m"))
+            for _ in range(length // MB):
+                caller.writer.write(bytes(MB))
+                await caller.writer.drain()
+                await asyncio.sleep(0.15)
+            whole = loop.time()
+            assert (await caller.answer()).code in (502, 504)
+            assert 0.2 < loop.time() - whole < 1.0
+
+    run(test())
