An answer is passed on only once some of it has come; full proof of the budgets

Under load the endless trailer of a test was passed on as a 200 after 50 ms, though nothing of a body had come: now it stays an error that may be retried.

--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -258,7 +258,7 @@
             self._spoilt()
         elif self.sink is not None:
             self.moved_at = self.upstream.heard_at
-        elif self.head_done and self.length is None and self.holding is None and self.exchange is not None:
+        elif self.size and self.length is None and self.holding is None and self.exchange is not None:
             if self.exchange.counts and self.parser.get_status_code() == 200:
                 self.holding = self.upstream.owner.loop.call_later(HOLD_BACK, self._pass_on)
 
