Read again: one way to judge a long answer, to give one up, to read the file, to write a chunk

A pass-through overlay is gone; the configuration is read and its error worded in one place (on one path the message began twice); chunks are framed in one place. Otherwise behaviour is as it was.

--- a/granitepoint/assembly.py
+++ b/granitepoint/assembly.py
@@ -66,7 +66,7 @@
         it is to begin with can't be used."""
         self.config = config
         self.operations = operations_of(config)
-        overlay = self.operations.overlay if self.operations is not None else None
+        overlay = self.operations.maintenance.overlay if self.operations is not None else None
         self.driver = Driver(config, outer_filters(budgets, called, config), overlay)
         self.subsystems: list[Subsystem] = []
         if membership is not None:
--- a/granitepoint/net/bodies.py
+++ b/granitepoint/net/bodies.py
@@ -11,6 +11,11 @@
 WINDOW = 64 * 1024  # bytes of a body that is passed on which may wait here for the backend
 
 
+def chunk_of(data: bytes) -> tuple[bytes, bytes, bytes]:
+    """As it stands in a chunked message (RFC 9112, 7.1); not for none, which would end it."""
+    return b"%x\r\n" % len(data), data, b"\r\n"
+
+
 class Reader(Protocol):
     """Who sends it on."""
 
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -59,17 +59,25 @@
     return int(text, 16) if isinstance(text, str) else int(str(text))
 
 
-def _read_file(environ: Mapping[str, str]) -> dict[str, Any]:
+def read_text(environ: Mapping[str, str]) -> str:
+    """The file that EDGE_CONFIG names, as it is now. Raises OSError or ValueError."""
     path = environ.get("EDGE_CONFIG")
     if not path:
         raise ValueError("EDGE_CONFIG is not set")
-    raw = json.loads(Path(path).read_text(encoding="utf-8"))
+    return Path(path).read_text(encoding="utf-8")
+
+
+def _read_file(environ: Mapping[str, str]) -> dict[str, Any]:
+    raw = json.loads(read_text(environ))
     if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
         raise ValueError("the file holds no settings object")
     return raw
 
 
-def _error(fault: Exception) -> ConfigError:
+UNREADABLE = (OSError, ValueError, TypeError, AttributeError, RecursionError)  # of a file and what it holds
+
+
+def config_error(fault: Exception) -> ConfigError:
     return ConfigError(" ".join(f"bad configuration: {fault}".split()))
 
 
@@ -77,8 +85,8 @@
     """Reads the file that EDGE_CONFIG names; the other variables override what it says."""
     try:
         return read_config(_read_file(environ), environ)
-    except (OSError, ValueError, TypeError, AttributeError, RecursionError) as fault:
-        raise _error(fault) from None
+    except UNREADABLE as fault:
+        raise config_error(fault) from None
 
 
 def read_config(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
@@ -112,18 +120,10 @@
     )
 
 
-def read_text(environ: Mapping[str, str]) -> str:
-    """The file that EDGE_CONFIG names, as it is now. Raises ConfigError."""
-    try:
-        return Path(environ.get("EDGE_CONFIG") or "").read_text(encoding="utf-8")
-    except (OSError, ValueError) as fault:
-        raise _error(fault) from None
-
-
 def reread_discovery(environ: Mapping[str, str]) -> Address:
     """The address of discovery as the file has it now. EDGE_DISCOVERY does not override it: a process keeps
     the variables it was started with, so a reload could never change anything."""
     try:
         return address(_read_file(environ).get("discovery"))
     except (OSError, ValueError, RecursionError) as fault:
-        raise _error(fault) from None
+        raise config_error(fault) from None
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -14,7 +14,7 @@
 import httptools
 
 from granitepoint.interface import Effect
-from granitepoint.net.bodies import Body
+from granitepoint.net.bodies import Body, chunk_of
 from granitepoint.net.limits import UPSTREAM_SHARE
 from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, closes, read_field
 
@@ -533,7 +533,7 @@
         if self.transport is None or not data:
             return
         if self.coded:
-            self.transport.writelines((b"%x\r\n" % len(data), data, b"\r\n"))
+            self.transport.writelines(chunk_of(data))
         else:
             self.transport.write(data)
 
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -18,7 +18,7 @@
 import httptools
 
 from granitepoint.interface import ServerState, Status
-from granitepoint.net.bodies import Body
+from granitepoint.net.bodies import Body, chunk_of
 from granitepoint.net.limits import MOST_LENGTH
 from granitepoint.net.listing import Address, Listing
 
@@ -255,7 +255,7 @@
                 self.answer = self.answer[0], False
             self._hand_on()
         elif spoilt:
-            self._spoilt()
+            self.spoilt()
         elif self.sink is not None:
             self.moved_at = self.upstream.heard_at
         elif self.size and self.length is None and self.holding is None and self.exchange is not None:
@@ -357,7 +357,7 @@
         if not body.kept and body.parts:
             parts = body.taken()
             if body.length is None:
-                parts = [piece for part in parts for piece in (b"%x\r\n" % len(part), part, b"\r\n")]
+                parts = [piece for part in parts for piece in chunk_of(part)]
             transport.writelines(parts)
             if exchange is not None:
                 exchange.extend(time.monotonic() + STALLED)
@@ -404,14 +404,20 @@
             if not closes(self.headers):
                 raise ValueError("no length")
             self.until_close = True
-        exchange = self.exchange
-        if self.length is not None and self.length > MOST_BODY and exchange is not None:
-            if code != 200:  # what it says is of no use, and how it ended is known
-                self.answer = code, False
-            elif exchange.counts:
-                self._pass_on()
-            else:
-                raise ValueError("body too large")
+        if self.length is not None and self.length > MOST_BODY:
+            self._too_long()
+
+    def _too_long(self) -> None:
+        """It can't be held until it is whole."""
+        if self.exchange is None:
+            return  # nobody waits for it any more
+        if not self.exchange.counts:
+            raise ValueError("body too large")
+        code = self.parser.get_status_code()
+        if code == 200:
+            self._pass_on()
+        else:  # what it says is of no use, and how it ended is known
+            self.answer = code, False
 
     def on_body(self, chunk: bytes) -> None:
         self.size += len(chunk)
@@ -420,16 +426,11 @@
         if self.sink is not None:
             self.sink.feed(chunk)
             return
-        if self.answer is not None or (self.exchange is None and self.sink is None):
+        if self.answer is not None or self.exchange is None:
             return  # settled by its head, or nobody waits for it any more
         self.body.append(chunk)
         if self.size > MOST_BODY:
-            if self.exchange is None or not self.exchange.counts:
-                raise ValueError("body too large")
-            if self.parser.get_status_code() != 200:
-                self.answer = self.parser.get_status_code(), False
-            else:
-                self._pass_on()
+            self._too_long()
 
     def on_message_complete(self) -> None:
         code = self.parser.get_status_code()
@@ -472,7 +473,7 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _spoilt(self) -> None:
+    def spoilt(self) -> None:
         """The backend answered, with something of no use: an error that may have run. Unlike a reset it says
         nothing of whether the backend is up."""
         exchange = self.exchange
@@ -652,7 +653,5 @@
         stalled = time.monotonic() - STALLED
         for connection in [c for c in self.relays if c.moved_at < stalled]:
             log.warning("an answer from %s stood still and is given up", connection.upstream.address)
-            sink = connection._end_relay()
-            connection.abandon()
-            sink.broken_off()
+            connection.spoilt()
         self.loop.call_later(SWEEP, self._sweep)
--- a/granitepoint/operations/office.py
+++ b/granitepoint/operations/office.py
@@ -13,7 +13,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 
-from granitepoint.net.config import Config, ConfigError, read_config, read_text
+from granitepoint.net.config import UNREADABLE, Config, config_error, read_config, read_text
 from granitepoint.net.discovery import WALL_OFFSET
 from granitepoint.net.driver import Driver
 from granitepoint.net.listing import Address, Listing
@@ -23,7 +23,7 @@
 from granitepoint.operations.figures import Figures
 from granitepoint.operations.generations import Generations
 from granitepoint.operations.maintenance import Maintenance, Unknown
-from granitepoint.operations.retune import SETTLING, Unusable, meanwhile, read_file
+from granitepoint.operations.retune import SETTLING, meanwhile, read_file
 from granitepoint.operations.store import Store
 
 log = logging.getLogger(__name__)
@@ -99,9 +99,6 @@
                 timer.cancel()
 
     # lists
-    def overlay(self, listing: Listing) -> Listing:
-        return self.maintenance.overlay(listing)
-
     def _look(self) -> None:
         self.looking = asyncio.get_running_loop().call_later(LOOK, self._look)
         self._news()
@@ -180,12 +177,9 @@
         try:
             raw = read_file(read_text(environ), self.running)
             new = read_config(raw, {})
-        except Unusable as fault:
-            self.figures.reconfig_failed += 1
-            raise ConfigError(f"bad configuration: {fault}") from None
-        except (ConfigError, ValueError, TypeError, AttributeError, RecursionError) as fault:
+        except UNREADABLE as fault:
             self.figures.reconfig_failed += 1
-            raise ConfigError(" ".join(f"bad configuration: {fault}".split())) from None
+            raise config_error(fault) from None
         self.figures.reconfig_ok += 1
         self.running = raw
         if self.retuning is not None:
--- a/granitepoint/operations/retune.py
+++ b/granitepoint/operations/retune.py
@@ -18,7 +18,7 @@
 ABOVE_0 = ("deadline", "objective", "attempts")  # of a class, where it has them
 
 
-class Unusable(Exception):
+class Unusable(ValueError):
     """The new file changes nothing; the message says why, with the key's path."""
 
 
