WebSocket: messages that are calls, tunnels to a node; off without its table

Kiosks hold screens open; when a nodo dies their sessions stall with no word. granitepoint/websocket/ takes upgrades over the same listener: message mode (each message a call, one outcome), tunnel mode (a stream class, pinned). Without [websocket] an upgrade is answered 400 as before.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -36,7 +36,7 @@
     longest = max(cls.deadline for cls in proxy.driver.settings.classes)
     answered_by = min(longest, LONGEST_WAIT) + KILL_SPARE - SPARE
     begun = time.monotonic()
-    proxy.driver.end_by = begun + answered_by
+    proxy.end_by(begun + answered_by)
     if proxy.operations is not None and proxy.operations.followed:
         await proxy.operations.hand_over()
         idle_from = LAST_UNUSED
@@ -71,10 +71,12 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, term.set)
     if operator is None:
-        proxy, file = Proxy(config, None), None
+        proxy = Proxy(config, None)
+        file = None
     else:
         budgets = budgets_of(operator.budgets, "edge") if operator.budgets is not None else None
-        proxy, file = Proxy(config, operator.membership, budgets), operator.file
+        proxy = Proxy(config, operator.membership, budgets, websocket=operator.websocket)
+        file = operator.file
     loop.add_signal_handler(signal.SIGHUP, reload, proxy, file)  # before it is ready, for good
     await proxy.start()
     settle()
--- a/granitepoint/assembly.py
+++ b/granitepoint/assembly.py
@@ -28,7 +28,8 @@
     from granitepoint.net.sources import Subsystem
     from granitepoint.operations.office import Operations
     from granitepoint.operator import Budgets as BudgetSettings
-    from granitepoint.operator import Membership, Registration
+    from granitepoint.operator import Membership, Registration, WebSocket
+    from granitepoint.websocket.front import Front
 
 log = logging.getLogger("granitepoint")
 
@@ -59,12 +60,22 @@
     """One tier's proxy in this process: it takes calls at its listener and balances them over the tier."""
 
     def __init__(
-        self, config: Config, membership: Membership | None, budgets: Budgets | None = None, called: str = ""
+        self,
+        config: Config,
+        membership: Membership | None,
+        budgets: Budgets | None = None,
+        called: str = "",
+        websocket: WebSocket | None = None,
     ) -> None:
         """`called`: the tier's name, where budgets are on and it is known. Raises ConfigError where the
         list that
         it is to begin with can't be used."""
         self.config = config
+        whole = config
+        if websocket is not None:
+            from granitepoint.websocket.front import Front, sized
+
+            config = sized(config, websocket)
         self.operations = operations_of(config)
         overlay = self.operations.maintenance.overlay if self.operations is not None else None
         self.driver = Driver(config, outer_filters(budgets, called, config), overlay)
@@ -84,6 +95,10 @@
             reserved=self.operations.descriptors if self.operations is not None else 0,
             most_body=MOST_LENGTH,
         )  # fmt: skip
+        self.front: Front | None = None
+        if websocket is not None:
+            self.front = Front(websocket, whole, self.driver, self.server)
+            self.subsystems.append(self.front)
 
     async def start(self) -> None:
         """Raises OSError where it can't listen."""
@@ -106,9 +121,19 @@
             except ValueError as fault:  # an OperatorError, too
                 log.error("reload: %s; this part stays as it was", " | ".join(str(fault).splitlines()))
 
+    def end_by(self, end_by: float) -> None:
+        """All that is open is to be over by then; sessions begin to end now."""
+        self.driver.end_by = end_by
+        if self.front is not None:
+            self.front.drain(end_by)
+
     async def finish(self) -> None:
         """Each answer from now on is the last on its connection; returns when nothing is owed any more."""
-        await wind_down(self.server, lambda: bool(self.driver.calls) or self.server.inflight > 0)
+        front = self.front
+        await wind_down(
+            self.server,
+            lambda: bool(self.driver.calls) or self.server.inflight > 0 or (front is not None and front.owes),
+        )
 
     def stop(self) -> None:
         if self.operations is not None:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -22,7 +22,17 @@
 from granitepoint.net.limits import UPSTREAM_SHARE
 from granitepoint.net.listing import Listing, read_listing
 from granitepoint.net.server import Page, Pages, Reply, Request
-from granitepoint.net.upstream import HOP_BY_HOP, IDLE_SHARE, LATE, ONE_TURN, STALLED, Exchange, Upstreams
+from granitepoint.net.upstream import (
+    HOP_BY_HOP,
+    IDLE_SHARE,
+    LATE,
+    ONE_TURN,
+    STALLED,
+    Connection,
+    Exchange,
+    SwitchExchange,
+    Upstreams,
+)
 
 log = logging.getLogger(__name__)
 
@@ -105,6 +115,7 @@
         self.ids: set[bytes] = set()  # of the calls in the table, and of attempts still out
         self.calls_taken = 0
         self.probes = 0
+        self.tunnels = 0  # further connections to backends that upgraded requests may hold
         self.events: list[api.Event] = []
         self.flush_at: asyncio.Handle | None = None
         self.flushed = 0.0
@@ -137,7 +148,7 @@
 
     def set_bounds(self, share: float) -> None:
         """On connections to backends, where this process has this share of its descriptors."""
-        self.upstreams.most_open = int(self.config.sockets * share * UPSTREAM_SHARE)
+        self.upstreams.most_open = int(self.config.sockets * share * UPSTREAM_SHARE) + self.tunnels
 
     def start(self) -> None:
         self._flush()
@@ -307,8 +318,12 @@
             exchange = call.exchange
             self._settle(call, False)
             self._push(api.Gone(call.number))
-            if exchange is not None and (call.tickets or not call.request.body.whole):
-                exchange.cancel()  # what knows of budgets stops working for it; and the rest will never come
+            request = call.request
+            if request.switch is not None:
+                request.switch.dropped()
+            if exchange is not None and (call.tickets or not request.body.whole or request.switch):
+                # What knows of budgets stops working for it; the rest will never come; nobody takes a 101.
+                exchange.cancel()
 
     def _overdue(self, call: OpenCall, late: bool = False) -> None:
         """The module has said nothing in time: a failure, unless a refusal is provably harmless."""
@@ -369,6 +384,9 @@
                 self._push(api.Outcome(call.number, number, action.server, api.Status.MOOT, 0.0, False))
                 return
             more += lines
+        switch = request.switch
+        if switch is not None:
+            more += switch.lines()
         data = request.head + more + b"x-budget: %du\r\n\r\n" % max(1, int(timeout * 1e6))
         payload: Body | None = None
         if body.size <= WRITTEN_AT_ONCE and body.whole and body.kept:
@@ -388,9 +406,13 @@
         def done(exchange: Exchange) -> None:
             self._attempt_ended(call, number, action.server, exchange)
 
-        exchange = Exchange(
-            upstream, data, max(0.0, timeout), may_start, done, counts=True, payload=payload
-        )
+        exchange: Exchange
+        if switch is not None:
+            exchange = SwitchExchange(upstream, data, max(0.0, timeout), may_start, done, switch)
+        else:
+            exchange = Exchange(
+                upstream, data, max(0.0, timeout), may_start, done, counts=True, payload=payload
+            )
         call.exchange = self.out[call.number] = exchange
         self.upstreams.start(exchange)
 
@@ -403,6 +425,9 @@
             ticket.returned(exchange, status)
         if status not in api.NEVER_RAN:
             call.ran = True
+        if isinstance(exchange, SwitchExchange) and exchange.taken is not None:
+            self._switched(call, number, server, exchange, exchange.taken)
+            return
         if not call.open:
             self.ids.discard(call.request.id)
         elif status is api.Status.OK:
@@ -420,6 +445,24 @@
             api.Outcome(call.number, number, server, status, exchange.elapsed, not call.open, report)
         )
 
+    def _switched(
+        self, call: OpenCall, number: int, server: int, exchange: SwitchExchange, connection: Connection
+    ) -> None:
+        """The call is over as far as it is decided on; to the module it is a stream until its end."""
+
+        def over(status: api.Status) -> None:
+            elapsed = time.monotonic() - exchange.started_at
+            self._push(api.Outcome(call.number, number, server, status, elapsed, True))
+
+        self.ids.discard(call.request.id)
+        if not call.open:
+            connection.abandon()
+            over(api.Status.OK)
+            return
+        self._settle(call, True)
+        self._push(api.StreamStarted(call.number, number, server, exchange.elapsed))
+        exchange.switch.switched(connection, exchange.headers, exchange.rest, over)
+
     def _refuse(self, action: api.Refuse) -> None:
         call = self.calls.get(action.call)
         if call is not None:
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from granitepoint.interface import Effect
+from granitepoint.interface import Effect, Status
 from granitepoint.net.bodies import Body, chunk_of
 from granitepoint.net.limits import UPSTREAM_SHARE
 from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, closes, read_field
@@ -46,8 +46,10 @@
     b"host x-call-id x-budget x-caller cookie x-again x-call-cost idempotency-key".split()
 )
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
-    413: b"Content Too Large", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
+    200: b"OK", 400: b"Bad Request", 403: b"Forbidden", 404: b"Not Found",
+    408: b"Request Timeout", 409: b"Conflict",
+    413: b"Content Too Large", 426: b"Upgrade Required", 429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
     502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
 NO_FIELDS: frozenset[bytes] = frozenset()
@@ -70,6 +72,7 @@
     came: float  # monotonic; of its last byte, once it is whole
     key: bytes = b""  # Idempotency-Key
     taken: tuple[tuple[bytes, bytes], ...] = ()  # fields that a filter takes; they are not in the head
+    switch: Switch | None = None  # it asks for an upgrade, and this is who wants it
 
 
 class Source(Protocol):
@@ -94,6 +97,24 @@
         """A 200 of this length; None: it ends when it ends."""
 
 
+class Switch(Protocol):
+    """Who wants a connection to a backend that is no HTTP any more: a request for an upgrade."""
+
+    def lines(self) -> bytes:
+        """Header lines of the next attempt."""
+
+    def proven(self, headers: list[tuple[bytes, bytes]]) -> str | None:
+        """What is wrong with the 101; None: nothing."""
+
+    def switched(
+        self, connection: Any, headers: list[tuple[bytes, bytes]], rest: bytes, over: Callable[[Status], None]
+    ) -> None:
+        """It is theirs from now on, with what came behind the 101. `over` is called once, at its end."""
+
+    def dropped(self) -> None:
+        """Who asked for it has gone first."""
+
+
 class Handler(Protocol):
     """What the callers' side asks of the driver."""
 
@@ -108,6 +129,22 @@
     def ended(self, cls: str, code: int) -> None: ...
 
 
+class Upgrade(NamedTuple):
+    """A request to leave HTTP, where somebody takes these."""
+
+    method: bytes
+    target: bytes
+    version: str
+    headers: list[tuple[bytes, bytes]]
+    body: bool  # it has one
+    surplus: bool  # more came right behind it
+
+
+class Upgrades(Protocol):
+    def asked(self, connection: ClientConnection, upgrade: Upgrade) -> object | None:
+        """Answers it, or takes the connection with `hand_over`, or returns the open call that decides."""
+
+
 class Page(NamedTuple):
     """What the proxy says of itself at a path, to a GET."""
 
@@ -236,11 +273,12 @@
     __slots__ = (
         "answering", "body", "broken", "call", "coded", "current", "early", "extra", "full", "head_done",
         "head_size", "headers", "held", "inside", "keep_alive", "last", "leaving", "left", "parser", "paused",
-        "raw", "server", "since", "source", "strides", "table", "target", "transport", "waiting",
+        "raw", "server", "since", "source", "strides", "switching", "table", "target", "transport", "waiting",
     )  # fmt: skip
 
     def __init__(self, server: Server) -> None:
         self.server = server
+        self.switching = False  # an upgrade is being decided on
         self.transport: asyncio.Transport | None = None
         self.parser: Any = None
         self.target = b""
@@ -256,7 +294,7 @@
         self.raw = 0  # bytes as they came, since the last whole request
         self.inside = False  # a request has begun to come
         self.head_done = False
-        self.waiting: deque[tuple[Request | BadRequest | Page, bool]] = deque()
+        self.waiting: deque[tuple[Request | BadRequest | Page | Upgrade, bool]] = deque()
         self.call: object | None = None
         self.answering = False  # a request is open
         self.current: Request | None = None  # it, where it is one that can be taken
@@ -320,6 +358,9 @@
     def buffer_updated(self, nbytes: int) -> None:
         if self.leaving or self.broken:
             return
+        if self.switching:
+            self._too_soon()
+            return
         self.raw += nbytes
         try:
             self.parser.feed_data(self.server.buffer[:nbytes])
@@ -329,12 +370,49 @@
             if self.raw > MOST_RAW + 8 * self.body.size:
                 raise BadRequest(413, "the request does not end")
         except Exception as fault:  # from the parser, or from a callback through it
+            if isinstance(fault, httptools.HttpParserUpgrade) and self.server.upgrades is not None:
+                self._upgrade(nbytes > fault.args[0])
+                return
             cause = fault if isinstance(fault, BadRequest) else fault.__context__
             self._break(cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed HTTP"))
         if self.table is self.server.kept and not self.waiting:
             self.server.place(self, self.server.fresh)  # a further request has begun
         self._next()
 
+    def _upgrade(self, surplus: bool) -> None:
+        """A request to leave HTTP has come; `surplus`: with something right behind it."""
+        asked, _ = self.waiting.pop()
+        if isinstance(asked, Upgrade):
+            asked = asked._replace(surplus=surplus)
+        self.waiting.append((asked, False))
+        self.broken = surplus  # what still comes is no request
+        self._next()
+
+    def _too_soon(self) -> None:
+        """Who asked for an upgrade sent more before it was granted."""
+        self.broken = True
+        call, self.call = self.call, None
+        if call is not None:
+            self.server.handler.left(call)
+        if self.answering:
+            self.answer(400, NO_HEADERS, b"frames before the 101\n")
+
+    def hand_over(self, head: bytes) -> asyncio.Transport:
+        """Leaves HTTP, with this 101. The connection counts no longer here."""
+        transport = self.transport
+        assert transport is not None
+        self.server.place(self, None)
+        self.server.connections.discard(self)
+        self.answering = self.switching = False
+        self.leaving = True
+        self.call = self.transport = self.parser = None
+        transport.write(head)
+        return transport
+
+    @property
+    def peername(self) -> Any:
+        return self.transport.get_extra_info("peername") if self.transport is not None else None
+
     def _break(self, bad: BadRequest) -> None:
         self.broken = True
         early = self.early
@@ -436,9 +514,14 @@
         parser = self.parser
         keep_alive = self._keeps()
         method = parser.get_method()
-        request: Request | BadRequest | Page
+        request: Request | BadRequest | Page | Upgrade
         if parser.should_upgrade():
-            request = BadRequest(400, "no upgrades")
+            if self.server.upgrades is None:
+                request = BadRequest(400, "no upgrades")
+            else:
+                has_body = body.size > 0 or bool(body.length)
+                version = parser.get_http_version()
+                request = Upgrade(method, self.target, version, self.headers, has_body, False)
             keep_alive = False
         elif method == b"GET" and (page := self.server.pages.get(self.target.split(b"?", 1)[0])):
             request = page()
@@ -467,6 +550,12 @@
                 self.keep_alive = False
                 advice = ((b"retry-after", b"1"), *self.server.never_ran)
                 self.answer(503, advice, b"too many connections\n")
+            elif isinstance(request, Upgrade):
+                assert self.server.upgrades is not None
+                self.switching = True
+                call = self.server.upgrades.asked(self, request)
+                if self.answering:
+                    self.call = call
             else:
                 try:
                     call = self.server.handler.opened(request, self)
@@ -483,6 +572,7 @@
         if not self.answering:
             raise RuntimeError("a request has one answer")
         self.call = None
+        self.switching = False
         transport = self.transport
         if transport is None:
             self.answering = False
@@ -645,6 +735,7 @@
         self.effects, self.handler = effects, handler
         self.pages, self.never_ran, self.takes = pages, never_ran, takes
         self.tally, self.most_body = tally, most_body
+        self.upgrades: Upgrades | None = None  # who takes requests for these; None: they are refused
         self.buffer = memoryview(bytearray(READ))  # what is read goes through it at once
         self.pooled = 0  # bytes of bodies that are held, beyond MOST_BODY each
         self.sockets, self.memory_mb, self.reserved = sockets, memory_mb, reserved
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -13,7 +13,7 @@
 import select
 import time
 from collections.abc import Callable
-from typing import Any, Protocol, cast
+from typing import TYPE_CHECKING, Any, Protocol, cast
 
 import httptools
 
@@ -22,6 +22,9 @@
 from granitepoint.net.limits import MOST_LENGTH
 from granitepoint.net.listing import Address, Listing
 
+if TYPE_CHECKING:
+    from granitepoint.net.server import Switch
+
 log = logging.getLogger(__name__)
 
 MOST_BODY = 64 * 1024  # bytes of an answer that is held until it is whole
@@ -181,12 +184,54 @@
             self.end(Status.ERROR)
 
 
+class SwitchExchange(Exchange):
+    """An attempt to leave HTTP with a backend: a proven 101 is its success, anything else an error."""
+
+    __slots__ = ("rest", "switch", "taken")
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        request: bytes,
+        timeout: float,
+        may_start: Callable[[], bool],
+        done: Callable[[Exchange], None],
+        switch: Switch,
+    ) -> None:
+        super().__init__(upstream, request, timeout, may_start, done, counts=True)
+        self.switch = switch
+        self.taken: Connection | None = None  # with OK: no HTTP any more
+        self.rest = b""  # what came behind the 101
+
+    def switched(self, headers: list[tuple[bytes, bytes]], connection: Connection, rest: bytes) -> None:
+        self.connection = None
+        self.code, self.headers = 101, headers
+        fault = self.switch.proven(headers)
+        if fault is None:
+            self.taken, self.rest = connection, rest
+            self.end(Status.OK)
+            return
+        log.warning("%s declines an upgrade with a 101: %s", self.upstream.address, fault)
+        connection.abandon()
+        self.end(Status.ERROR)
+
+    def answered(self, code: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        """Declined. A 200 is no WebSocket."""
+        super().answered(502 if code == 200 else code, headers, body)
+
+    def streamed(
+        self, code: int, headers: list[tuple[bytes, bytes]], source: Connection, length: int | None
+    ) -> None:
+        self.connection = None
+        self.end(Status.ERROR)  # nobody relays it, so its connection ends
+
+
 class Connection(asyncio.BufferedProtocol):
     """One connection to a backend; carries one exchange at a time."""
 
     __slots__ = (
         "answer", "body", "exchange", "full", "head_done", "headers", "holding", "idle_since", "last",
-        "length", "moved_at", "parser", "paused", "raw", "sink", "size", "transport", "until_close",
+        "length", "moved_at", "parser", "paused", "raw", "rest", "sink", "size", "transport", "until_close",
         "upstream", "writing",
     )  # fmt: skip
 
@@ -208,6 +253,7 @@
         self.paused = False  # the sink has had enough
         self.moved_at = 0.0  # when a message that is passed on moved last
         self.holding: asyncio.TimerHandle | None = None
+        self.rest = b""  # what came right behind a 101
 
     # transport callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -246,6 +292,8 @@
             # httptools gathers a header that does not end without a word, so what comes is counted as it is.
             if self.answer is None and self.raw > (MOST_RAW + 8 * self.size if self.head_done else MOST_HEAD):
                 raise ValueError("the answer does not end")
+        except httptools.HttpParserUpgrade as end:
+            self.rest = bytes(data[end.args[0] :])
         except Exception as fault:  # garbage; it may still have run
             cause = fault.__context__ or fault
             log.warning("a backend's answer can't be used: %s: %s", self.upstream.address, str(cause)[:200])
@@ -272,6 +320,10 @@
         sink = self._end_relay() if self.sink is not None else None
         keep = keep and self.writing is None  # else the rest of the request would be read as another
         self._let_go()
+        if code == 101 and isinstance(exchange, SwitchExchange):
+            rest, self.rest = self.rest, b""
+            exchange.switched(headers, self, rest)
+            return
         if keep:
             self.upstream.keep(self)
         else:
@@ -558,6 +610,7 @@
         self.relays: set[Connection] = set()  # answers that are passed on
         self.written = 0  # attempts of calls whose last byte was handed to a connection
         self.by_id: dict[int, Upstream] = {}
+        self.on_leaving: Callable[[Upstream], None] | None = None  # is told of each that must be left
         self._connects: set[asyncio.Task[None]] = set()
         self.loop.call_later(SWEEP, self._sweep)
 
@@ -581,6 +634,8 @@
                 continue
             if upstream.address != listed.address or entry.started_at > upstream.started_at:
                 upstream.renew()
+                if self.on_leaving is not None:
+                    self.on_leaving(upstream)
             upstream.address, upstream.started_at = listed.address, entry.started_at
             upstream.state = entry.state
         for server, upstream in list(self.by_id.items()):
@@ -588,6 +643,8 @@
                 upstream.state = ServerState.GONE
             if not upstream.serving:
                 upstream.close_idle()
+                if self.on_leaving is not None:
+                    self.on_leaving(upstream)
             if upstream.state is ServerState.GONE:
                 del self.by_id[server]  # what is out on it ends by itself
 
--- a/granitepoint/operator/__init__.py
+++ b/granitepoint/operator/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from granitepoint.operator.reader import OperatorError, Problem, read_text
-from granitepoint.operator.schema import Budgets, Membership, Operator, Registration, load
+from granitepoint.operator.schema import Budgets, Membership, Operator, Registration, WebSocket, load
 
-__all__ = ["Budgets", "Membership", "Operator", "OperatorError", "Problem", "Registration", "load",
-"read_text"]
+__all__ = ["Budgets", "Membership", "Operator", "OperatorError", "Problem", "Registration",
+"WebSocket", "load", "read_text"]
--- a/granitepoint/operator/schema.py
+++ b/granitepoint/operator/schema.py
@@ -103,6 +103,49 @@
     refuse_below_usual: bool = key(bool, "true", True)
 
 
+def _routes(value: tuple[str, ...]) -> str | None:
+    if any(not re.fullmatch(r"[A-Za-z0-9_-]{1,64}", name) for name in value):
+        return "must hold first parts of paths: letters, digits, - and _"
+    return "names one twice" if len(set(value)) != len(value) else None
+
+
+def _origins(value: tuple[str, ...]) -> str | None:
+    if any(not re.fullmatch(r"null|[a-z][a-z0-9+.-]*://[^/\s]{1,253}", name) for name in value):
+        return "must hold origins such as https://kiosk.example, in small letters, without a path"
+    return None
+
+
+def _protocols(value: tuple[str, ...]) -> str | None:
+    if any(not re.fullmatch(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]{1,64}", name) for name in value):
+        return "must hold tokens of 1 to 64 characters"
+    return None
+
+
+@dataclass(frozen=True, slots=True)
+class WebSocket:
+    """[websocket]: sessions of callers, as messages that are calls or as tunnels to a node."""
+
+    messages: tuple[str, ...] = key(tuple, '["pantalla"] (first part of the path)', (), _routes)
+    tunnels: tuple[str, ...] = key(tuple, '["vigia"] (a class that is safe to repeat)', (), _routes)
+    origins: tuple[str, ...] = key(tuple, '["https://kiosk.example"]', (), _origins)
+    subprotocols: tuple[str, ...] = key(tuple, '["cambio.v1"]', (), _protocols)
+    sessions: int = key(int, "256", 256, between(1, 100_000))
+    sessions_per_client: int = key(int, "64 (of one address; 0: no such bound)", 0, between(0, 100_000))
+    sessions_per_tenant: int = key(int, "64 (0: no such bound)", 0, between(0, 100_000))
+    message_bytes: int = key(int, "65536", 64 * 1024, between(125, 64 * 1024))
+    messages_per_s: float = key(float, "20.0", 20.0, between(0.01, 10_000))
+    burst: float = key(float, "40.0", 40.0, between(1, 10_000))
+    open_messages: int = key(int, "16", 16, between(1, 1024))
+    unread_bytes: int = key(int, "262144", 256 * 1024, between(1024, 16 << 20))
+    ping_every: float = key(float, "10.0", 10.0, between(0.2, 3600))
+    ping_timeout: float = key(float, "5.0", 5.0, between(0.2, 600))
+    resume_within: float = key(float, "10.0", 10.0, between(0.0, 300))
+    reconnect_spread: float = key(float, "5.0", 5.0, between(0.1, 600))
+    deflate: bool = key(bool, "true (permessage-deflate, from clients)", False)
+    deflate_window_bits: int = key(int, "11", 11, between(9, 15))
+    deflate_ratio: float = key(float, "50.0 (bytes unpacked for each that came)", 50.0, between(1, 1032))
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """The whole file. `file` is where it came from."""
@@ -111,9 +154,12 @@
     membership: Membership | None = None
     registration: Registration | None = None
     budgets: Budgets | None = None
+    websocket: WebSocket | None = None
 
 
-TABLES: dict[str, type] = {"membership": Membership, "registration": Registration, "budgets": Budgets}
+TABLES: dict[str, type] = {
+    "membership": Membership, "registration": Registration, "budgets": Budgets, "websocket": WebSocket
+}  # fmt: skip
 
 
 def load(file: str) -> Operator:
@@ -132,6 +178,7 @@
     membership_contradictions(reader, membership, ("membership",))
     if tables.get("registration") is not None and (membership is not None or "membership" not in raw):
         registration_contradictions(reader, membership, ("membership",), ("registration",))
+    websocket_contradictions(reader, tables.get("websocket"), ("websocket",))
     if reader.problems:
         raise OperatorError(reader.problems)
     return Operator(file, **tables)
@@ -173,3 +220,30 @@
             f"read_only = true with [{'.'.join(path)}]: a read-only server takes no registration",
             "write read_only = false",
         )
+
+
+def websocket_contradictions(reader: Reader, table: object, path: Path) -> None:
+    """What a table [websocket] at this path holds that can't all be so."""
+    if not isinstance(table, WebSocket):
+        return
+    if not table.messages and not table.tunnels:
+        reader.wrong(path, "S107", "[websocket] with neither messages nor tunnels serves nobody",
+                     'write messages = ["pantalla"], or leave the table out')  # fmt: skip
+    for name in sorted(set(table.messages) & set(table.tunnels)):
+        reader.wrong((*path, "tunnels"), "S107", f"{name} is a route of messages and of tunnels",
+                     "give each route one mode")  # fmt: skip
+    if table.burst < table.messages_per_s / 10:
+        reader.wrong((*path, "burst"), "S107", "burst holds less than 0.1 s of messages_per_s",
+                     f"write burst = {table.messages_per_s / 10:g} or more")  # fmt: skip
+    for name in ("sessions_per_client", "sessions_per_tenant"):
+        if getattr(table, name) > table.sessions:
+            reader.wrong((*path, name), "S107", f"{name} is over sessions = {table.sessions}",
+                         f"write {name} = {table.sessions} or less")  # fmt: skip
+    if table.unread_bytes < table.message_bytes:
+        reader.wrong((*path, "unread_bytes"), "S107",
+                     "unread_bytes is under message_bytes: one long outcome would close its session",
+                     f"write unread_bytes = {table.message_bytes} or more")  # fmt: skip
+    if table.ping_timeout > table.ping_every:
+        reader.wrong((*path, "ping_timeout"), "S107",
+                     "ping_timeout is over ping_every: a silent peer would be awaited past its next ping",
+                     f"write ping_timeout = {table.ping_every:g} or less")  # fmt: skip
--- a/granitepoint/sidecar/running.py
+++ b/granitepoint/sidecar/running.py
@@ -192,7 +192,7 @@
         end_by = now + tier.stop_after - SPARE
         self.inbound.drain(end_by)
         for proxy in self.outbound.values():
-            proxy.driver.end_by = end_by
+            proxy.end_by(end_by)
         if self.registering is not None and self.registrar is not None:
             self.registering.cancel()
             self.registrar.say(self.registrar.node.draining())
--- /dev/null
+++ b/granitepoint/websocket/deflate.py
@@ -0,0 +1,142 @@
+"""permessage-deflate (RFC 7692) with its memory and its growth bounded: no state outlives a message.
+
+Both sides' context is given up after each message, so that an idle session holds no window; what is unpacked
+may be so many times as long as what came, and no more.
+"""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import dataclass
+
+from wsproto.extensions import Extension
+from wsproto.frame_protocol import CloseReason, FrameDecoder, FrameProtocol, Opcode, RsvBits
+
+LEAST_PACKED = 256  # bytes of a message below which packing costs more than it saves
+FLOOR = 4096  # bytes that any message may unpack to, whatever its ratio
+TAIL = b"\x00\x00\xff\xff"  # what a sender leaves off (RFC 7692, 7.2.1)
+STEP = 16 * 1024  # bytes that are unpacked at once
+LEAST_BITS, MOST_BITS = 9, 15  # zlib has no raw window of 8
+
+
+@dataclass(frozen=True, slots=True)
+class Agreed:
+    """What both sides agreed on. Windows in bits."""
+
+    client_bits: int
+    server_bits: int
+
+    def header(self) -> bytes:
+        text = "permessage-deflate; server_no_context_takeover; client_no_context_takeover"
+        if self.server_bits < MOST_BITS:
+            text += f"; server_max_window_bits={self.server_bits}"
+        if self.client_bits < MOST_BITS:
+            text += f"; client_max_window_bits={self.client_bits}"
+        return text.encode()
+
+
+def negotiate(offers: bytes, bits: int) -> Agreed | None:
+    """The first of the client's offers that can be taken with windows of at most `bits` (RFC 7692, 7.1);
+    None: none."""
+    for offer in offers.split(b","):
+        name, *params = [part.strip() for part in offer.split(b";")]
+        if name != b"permessage-deflate":
+            continue
+        given: dict[bytes, bytes] = {}
+        good = True
+        for param in params:
+            key, _, value = param.partition(b"=")
+            key, value = key.strip(), value.strip().strip(b'"')
+            if key in given:
+                good = False
+            given[key] = value
+        known = {b"server_no_context_takeover", b"client_no_context_takeover",
+                 b"server_max_window_bits", b"client_max_window_bits"}  # fmt: skip
+        if not good or not given.keys() <= known:
+            continue
+        server = _bits(given.get(b"server_max_window_bits", b"15"))
+        client = _bits(given.get(b"client_max_window_bits", b"") or b"15")
+        if server is None or client is None or server < LEAST_BITS:
+            continue
+        if b"client_max_window_bits" not in given and bits < MOST_BITS:
+            continue  # it can't be told to use a smaller window, and one larger than agreed is not held
+        return Agreed(max(LEAST_BITS, min(client, bits)), min(server, bits))
+    return None
+
+
+def _bits(text: bytes) -> int | None:
+    return int(text) if text.isdigit() and len(text) <= 2 and 8 <= int(text) <= MOST_BITS else None
+
+
+class Deflate(Extension):
+    """For one connection, on the server's side. wsproto calls it for each frame."""
+
+    name = "permessage-deflate"
+
+    def __init__(self, agreed: Agreed, most: int, ratio: float) -> None:
+        """`most`: bytes of a message, unpacked; `ratio`: unpacked bytes for each that came."""
+        self.agreed, self.most, self.ratio = agreed, most, ratio
+        self.unpacker: zlib._Decompress | None = None  # while a packed message comes
+        self.came = self.made = 0  # bytes of it
+        self.control = False  # the frame that comes now is a control frame
+
+    def enabled(self) -> bool:
+        return True
+
+    def offer(self) -> bool | str:
+        return False  # the handshake is not wsproto's here
+
+    def frame_inbound_header(
+        self, proto: FrameDecoder | FrameProtocol, opcode: Opcode, rsv: RsvBits, payload_length: int
+    ) -> CloseReason | RsvBits:
+        self.control = opcode.iscontrol()
+        if rsv.rsv1 and (self.control or opcode is Opcode.CONTINUATION):
+            return CloseReason.PROTOCOL_ERROR  # RFC 7692, 6.1: only on a message's first frame
+        if rsv.rsv1:
+            self.unpacker = zlib.decompressobj(-self.agreed.client_bits)
+            self.came = self.made = 0
+        return RsvBits(rsv.rsv1, False, False)
+
+    def frame_inbound_payload_data(
+        self, proto: FrameDecoder | FrameProtocol, data: bytes
+    ) -> bytes | CloseReason:
+        if self.unpacker is None or self.control:
+            return data
+        self.came += len(data)
+        return self._unpacked(data)
+
+    def _unpacked(self, data: bytes) -> bytes | CloseReason:
+        assert self.unpacker is not None
+        parts = []
+        allowed = min(self.most, max(FLOOR, int(self.came * self.ratio)))
+        try:
+            while data:
+                part = self.unpacker.decompress(data, STEP)
+                self.made += len(part)
+                if self.made > allowed:
+                    return CloseReason.MESSAGE_TOO_BIG
+                parts.append(part)
+                data = self.unpacker.unconsumed_tail
+        except zlib.error:
+            return CloseReason.INVALID_FRAME_PAYLOAD_DATA
+        return b"".join(parts)
+
+    def frame_inbound_complete(
+        self, proto: FrameDecoder | FrameProtocol, fin: bool
+    ) -> bytes | CloseReason | None:
+        if self.unpacker is None or self.control or not fin:
+            return None
+        last = self._unpacked(TAIL)
+        self.unpacker = None
+        return last
+
+    def frame_outbound(
+        self, proto: FrameDecoder | FrameProtocol, opcode: Opcode, rsv: RsvBits, data: bytes, fin: bool
+    ) -> tuple[RsvBits, bytes]:
+        whole = fin and opcode in (Opcode.TEXT, Opcode.BINARY)
+        if not whole or len(data) < LEAST_PACKED:
+            return rsv, data
+        bits = self.agreed.server_bits
+        packer = zlib.compressobj(wbits=-bits, memLevel=min(8, bits - 6))
+        packed = packer.compress(data) + packer.flush(zlib.Z_SYNC_FLUSH)
+        return RsvBits(True, rsv.rsv2, rsv.rsv3), packed.removesuffix(TAIL)
--- /dev/null
+++ b/granitepoint/websocket/front.py
@@ -0,0 +1,339 @@
+"""What the proxy sees of WebSocket: who may upgrade, the sessions there are, time, drains, and the end.
+
+Its settings are the operator's table [websocket]; routes are the first part of a path, as everywhere.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+import time
+from dataclasses import replace
+from urllib.parse import parse_qs, urlsplit
+
+from granitepoint.interface import Effect
+from granitepoint.net.bodies import Body
+from granitepoint.net.config import Config, ConfigError
+from granitepoint.net.driver import Driver
+from granitepoint.net.limits import LEAST_SOCKETS
+from granitepoint.net.server import BASE_MEMORY, BadRequest, ClientConnection, Server, Upgrade, read_request
+from granitepoint.net.upstream import Upstream
+from granitepoint.operator import OperatorError, Problem, WebSocket, load
+from granitepoint.websocket.codec import Codec
+from granitepoint.websocket.deflate import Deflate, negotiate
+from granitepoint.websocket.handshake import (
+    OWN_FIELDS,
+    Declined,
+    Opening,
+    check_origin,
+    choose,
+    read_opening,
+    response,
+)
+from granitepoint.websocket.limits import Doors
+from granitepoint.websocket.messages import Talk, Talks
+from granitepoint.websocket.peer import Owner, Peer
+from granitepoint.websocket.sessions import Book
+from granitepoint.websocket.spread import Spread, reason
+from granitepoint.websocket.tunnel import Tunnel
+
+log = logging.getLogger(__name__)
+
+SCRATCH = 16 * 1024  # bytes that are read at once, and so the most that one side holds unread
+SWEEP = 0.25  # s between looks at all sessions
+STUCK = 5.0  # s in which who takes nothing of what waits for it is closed with 1008
+DRAIN_SPAN = 0.8  # s over which the sessions of a node that drains are closed; rule 3 has 2 s for all
+AT_ONCE = 64  # sessions that are closed in one turn
+STEP = 0.02  # s between such turns, at the most
+SESSION_MEMORY = 0.024  # MB that a session may cost at rest, both sides of a tunnel
+POOL_SHARE = 0.25  # of the memory beyond the program's own, for what clients have not taken yet
+OUTCOME_SHARE = 0.25  # of that pool, for outcomes that are kept
+LEAST_CALLERS = 8  # MB that callers over HTTP have left
+
+
+def sized(config: Config, settings: WebSocket) -> Config:
+    """What the sessions leave of the process's descriptors and memory. Raises ConfigError."""
+    each = 2 if settings.tunnels else 1
+    sockets = config.sockets - each * settings.sessions
+    free = config.memory_mb - BASE_MEMORY
+    memory_mb = config.memory_mb - settings.sessions * SESSION_MEMORY - free * POOL_SHARE
+    if sockets < LEAST_SOCKETS or memory_mb < BASE_MEMORY + LEAST_CALLERS:
+        by_sockets = (config.sockets - LEAST_SOCKETS) // each
+        by_memory = int((free * (1 - POOL_SHARE) - LEAST_CALLERS) / SESSION_MEMORY)
+        raise ConfigError(
+            f"[websocket] sessions = {settings.sessions} does not go into {config.sockets} descriptors and "
+            f"{config.memory_mb:g} MB: write sessions = {max(0, min(by_sockets, by_memory))} or less"
+        )
+    return replace(config, sockets=sockets, memory_mb=memory_mb)
+
+
+def pool_of(config: Config) -> int:
+    """Bytes that clients may leave untaken, all together. `config`: of the whole process."""
+    return int((config.memory_mb - BASE_MEMORY) * POOL_SHARE * 1e6)
+
+
+class Front:
+    """net.server.Upgrades, and a Subsystem."""
+
+    def __init__(self, settings: WebSocket, config: Config, driver: Driver, server: Server) -> None:
+        """`config`: of the whole process. Raises ConfigError where a tunnel's class can't be one."""
+        self.settings, self.driver, self.server = settings, driver, server
+        for cls in settings.tunnels:
+            if driver.effects.get(cls) is not Effect.REPEATABLE:
+                raise ConfigError(f"[websocket] tunnels: {cls} is no repeatable class of the settings")
+        self.loop = asyncio.get_running_loop()
+        self.scratch = memoryview(bytearray(SCRATCH))
+        self.pool = pool_of(config)
+        self.book = Book(int(self.pool * OUTCOME_SHARE))
+        self.talks = Talks(self)
+        self.doors = Doors()
+        self.spread = Spread(config.seed, settings.reconnect_spread)
+        self.peers: dict[Peer, None] = {}  # the clients' sides, and the nodes' sides of tunnels
+        self.tunnels: dict[Upstream, dict[Tunnel, None]] = {}  # by node
+        self.loads: dict[Peer, int] = {}  # bytes that some have not taken
+        self.load = 0  # of them together
+        self.draining = False
+        self.end_by = 0.0
+        self.sweeping: asyncio.TimerHandle | None = None
+        driver.tunnels = settings.sessions if settings.tunnels else 0
+        driver.set_bounds(1.0)
+        server.upgrades = self
+        driver.upstreams.on_leaving = self.leaving
+
+    # Subsystem
+    def start(self) -> None:
+        self.sweeping = self.loop.call_later(SWEEP, self._sweep)
+
+    def stop(self) -> None:
+        if self.sweeping is not None:
+            self.sweeping.cancel()
+        for peer in list(self.peers):
+            peer.abort()
+
+    def reread(self, file: str) -> None:
+        """On SIGHUP: limits and times. Raises OperatorError, and then nothing has changed."""
+        new = load(file).websocket
+        fixed = ("messages", "tunnels", "sessions")
+        late = [name for name in fixed if new is None or getattr(new, name) != getattr(self.settings, name)]
+        if new is None or late:
+            text = f"[websocket] {', '.join(late)} can't change while the proxy runs"
+            raise OperatorError([Problem(file, 1, "S109", text, "start the proxy anew")])
+        self.settings = new
+        self.spread.span = new.reconnect_spread
+
+    @staticmethod
+    def failed(what: str) -> None:
+        log.exception(what)
+
+    # net.server.Upgrades
+    def asked(self, connection: ClientConnection, upgrade: Upgrade) -> object | None:
+        """Answers, or takes the connection over, or returns the call that decides on it."""
+        try:
+            return self._asked(connection, upgrade)
+        except Declined as no:
+            connection.answer(no.code, no.headers, f"{no}\n".encode())
+        except BadRequest as bad:
+            connection.answer(bad.code, (), f"{bad}\n".encode())
+        return None
+
+    def _asked(self, connection: ClientConnection, upgrade: Upgrade) -> object | None:
+        settings, headers = self.settings, upgrade.headers
+        opening = read_opening(upgrade.method, upgrade.version, headers, upgrade.body)
+        check_origin(opening, settings.origins)
+        path = urlsplit(upgrade.target.decode("latin-1"))
+        route = path.path[1:].split("/", 1)[0]
+        if route not in settings.messages and route not in settings.tunnels:
+            raise Declined(404, "no WebSocket here")
+        if upgrade.surplus:
+            raise Declined(400, "frames before the 101")
+        if self.draining:
+            raise Declined(503, "this proxy is stopping", self._advice())
+        tenant = next((value.decode("latin-1") for name, value in headers if name == b"x-caller"), "")
+        client = str((connection.peername or ("",))[0])
+        self._door(client, tenant)
+        if route in settings.messages:
+            self._begin_talk(connection, opening, parse_qs(path.query), client, tenant)
+            return None
+        return self._begin_tunnel(connection, upgrade, opening, route, client, tenant)
+
+    def _advice(self) -> tuple[tuple[bytes, bytes], ...]:
+        return ((b"retry-after", b"%.3f" % max(0.1, self.spread.next())),)
+
+    def _door(self, client: str, tenant: str) -> None:
+        settings = self.settings
+        most = settings.sessions
+        whose = self.doors.full(
+            client, tenant, most, settings.sessions_per_client or most, settings.sessions_per_tenant or most
+        )
+        if whose is not None:
+            code = 503 if whose == "proxy" else 429
+            raise Declined(code, f"too many sessions of this {whose}", self._advice())
+
+    def hand_over(
+        self, connection: ClientConnection, opening: Opening, protocol: bytes, owner: Owner
+    ) -> Peer:
+        """The client's 101, and its connection as frames."""
+        extension, extensions, settings = b"", [], self.settings
+        if settings.deflate:
+            agreed = negotiate(opening.extensions, settings.deflate_window_bits)
+            if agreed is not None:
+                extension = agreed.header()
+                extensions = [Deflate(agreed, settings.message_bytes, settings.deflate_ratio)]
+        transport = connection.hand_over(response(opening, protocol, extension))
+        codec = Codec(False, settings.message_bytes, extensions)
+        peer = Peer(transport, codec, owner, self.scratch, server=True)
+        self.peers[peer] = None
+        return peer
+
+    def _begin_talk(
+        self, connection: ClientConnection, opening: Opening, query: dict[str, list[str]], client: str,
+        tenant: str,
+    ) -> None:  # fmt: skip
+        token, seen = query.get("session", [""])[0], query.get("seen", ["0"])[0]
+        if not seen.isascii() or not seen.isdecimal() or len(seen) > 15:
+            raise Declined(400, "seen must be the number of an outcome")
+        book, now = self.book, time.monotonic()
+        protocol = choose(opening, self.settings.subprotocols)
+        found = book.resume(token, tenant, None) if token else None
+        if found is None:
+            while len(book.sessions) >= 2 * self.settings.sessions and self.talks.make_room():
+                pass  # those that wait for their client are bounded, too
+            session, before = book.begin(secrets.token_urlsafe(16), tenant, None), None
+        else:
+            session, before = found
+        self.doors.enter(client, tenant)
+        talk = Talk(self.talks, session, client, now)
+        session.peer = talk
+        if isinstance(before, Talk) and before.peer is not None:
+            before.peer.close(1008, "its session is on another connection")
+            before.peer.abort()
+        talk.peer = self.hand_over(connection, opening, protocol, talk)
+        self.talks.begin(talk, found is not None, int(seen))
+
+    def _begin_tunnel(
+        self, connection: ClientConnection, upgrade: Upgrade, opening: Opening, cls: str, client: str,
+        tenant: str,
+    ) -> object | None:  # fmt: skip
+        headers = [pair for pair in upgrade.headers if pair[0] not in OWN_FIELDS]
+        names = {name for name, _ in headers}
+        if b"x-call-id" not in names:  # a browser sends none
+            headers.append((b"x-call-id", b"ws-" + secrets.token_hex(8).encode()))
+        if b"x-budget" not in names:
+            headers.append((b"x-budget", b"%dm" % int(self.driver.deadlines[cls] * 1e3)))
+        driver = self.driver
+        request = read_request(
+            b"GET", upgrade.target, headers, Body.of(b""), time.monotonic(), driver.effects, driver.takes
+        )
+        self.doors.enter(client, tenant)
+        tunnel = Tunnel(self, connection, opening, client, tenant)
+        request.switch = tunnel
+        return driver.opened(request, tunnel)
+
+    def declined(self, tunnel: Tunnel) -> None:
+        self.doors.leave(tunnel.from_client, tunnel.tenant)
+
+    def open_tunnel(self, tunnel: Tunnel) -> None:
+        upstream, node = tunnel.upstream, tunnel.node.peer
+        assert upstream is not None and node is not None
+        self.peers[node] = None
+        self.tunnels.setdefault(upstream, {})[tunnel] = None
+        if not upstream.serving:  # it was told to drain while the handshake went on
+            self.leaving(upstream)
+
+    def closed_tunnel(self, tunnel: Tunnel, upstream: Upstream) -> None:
+        here = self.tunnels.get(upstream)
+        if here is not None:
+            here.pop(tunnel, None)
+            if not here:
+                del self.tunnels[upstream]
+
+    def left(self, client: str, tenant: str, owner: object) -> None:
+        """A client's connection is gone."""
+        self.doors.leave(client, tenant)
+
+    # what clients have not taken
+    def wrote(self, owner: object, peer: Peer) -> None:
+        """After each write. Where all together hold too much, who holds the most is closed."""
+        self._count(peer)
+        while self.load > self.pool and self.loads:
+            heaviest = max(self.loads, key=self.loads.__getitem__)
+            heaviest.fail(1008, "what it was sent is not read, and there is no room for more")
+            heaviest.abort()
+            self._forget(heaviest)
+
+    def _count(self, peer: Peer) -> None:
+        now = peer.load
+        self.load += now - self.loads.get(peer, 0)
+        if now:
+            self.loads[peer] = now
+        else:
+            self.loads.pop(peer, None)
+
+    def _forget(self, peer: Peer) -> None:
+        self.load -= self.loads.pop(peer, 0)
+
+    # time
+    def _sweep(self) -> None:
+        self.sweeping = self.loop.call_later(SWEEP, self._sweep)
+        settings, now = self.settings, time.monotonic()
+        for peer in list(self.peers):
+            if peer.transport is None:
+                del self.peers[peer]
+                self._forget(peer)
+                continue
+            peer.look_after(now, settings.ping_every, settings.ping_timeout)
+            if peer.stuck(now) > STUCK and peer.server:
+                peer.fail(1008, "what it was sent is not read")
+                peer.abort()
+        for peer in list(self.loads):
+            self._count(peer)
+        self.talks.sweep(now)
+
+    # drains
+    def leaving(self, upstream: Upstream) -> None:
+        """A node drains, is gone, or is another one by now: its tunnels leave it, one after another."""
+        here = list(self.tunnels.get(upstream, ()))
+        if not here:
+            return
+        log.info("%d tunnels leave %s:%d", len(here), *upstream.address)
+        for number, tunnel in enumerate(here):
+            self.loop.call_later(DRAIN_SPAN * number / len(here), tunnel.leave_node, 1012)
+
+    def drain(self, end_by: float) -> None:
+        """This proxy stops. Tunnels end over the time that there is; a session of messages once it is owed
+        nothing."""
+        if self.draining:
+            return
+        self.draining, self.end_by = True, end_by
+        span = max(0.0, min(DRAIN_SPAN, end_by - time.monotonic() - 2 * STEP))
+        tunnels = [tunnel for here in self.tunnels.values() for tunnel in here]
+        for number, tunnel in enumerate(tunnels):
+            self.loop.call_later(span * number / len(tunnels), tunnel.leave_node, 1001)
+        self._close_idle_talks()
+
+    def _close_idle_talks(self) -> None:
+        """Again and again, some at a time, until all are closed."""
+        last = time.monotonic() > self.end_by - 2 * STEP
+        left = AT_ONCE
+        waiting = False
+        for session in list(self.book.sessions.values()):
+            talk = session.peer
+            if talk is None or talk.peer is None:
+                continue
+            if session.open and not last:
+                waiting = True
+            elif left or last:
+                left -= 1
+                talk.peer.close(1001, reason(self.spread.next()))
+            else:
+                waiting = True
+        if waiting:
+            self.loop.call_later(STEP, self._close_idle_talks)
+
+    @property
+    def owes(self) -> bool:
+        """Whether some session is still owed an outcome or its close, and there is time for it."""
+        return time.monotonic() < self.end_by and any(peer.transport is not None for peer in self.peers)
+
+
