--- a/granitepoint/websocket/deflate.py
+++ b/granitepoint/websocket/deflate.py
@@ -13,7 +13,7 @@
 from wsproto.frame_protocol import CloseReason, FrameDecoder, FrameProtocol, Opcode, RsvBits
 
 LEAST_PACKED = 256  # bytes of a message below which packing costs more than it saves
-FLOOR = 4096  # bytes that any message may unpack to, whatever its ratio
+FLOOR = 16 * 1024  # bytes that any message may unpack to, whatever its ratio
 TAIL = b"\x00\x00\xff\xff"  # what a sender leaves off (RFC 7692, 7.2.1)
 STEP = 16 * 1024  # bytes that are unpacked at once
 LEAST_BITS, MOST_BITS = 9, 15  # zlib has no raw window of 8
--- a/granitepoint/websocket/front.py
+++ b/granitepoint/websocket/front.py
@@ -335,5 +335,3 @@
     def owes(self) -> bool:
         """Whether some session is still owed an outcome or its close, and there is time for it."""
         return time.monotonic() < self.end_by and any(peer.transport is not None for peer in self.peers)
-
-
--- a/granitepoint/websocket/handshake.py
+++ b/granitepoint/websocket/handshake.py
@@ -90,9 +90,7 @@
     if any(not TOKEN.fullmatch(protocol) for protocol in protocols):
         raise Declined(400, "Sec-WebSocket-Protocol holds what is no token")
     origin = _one(headers, b"origin")
-    return Opening(
-        key, origin, tuple(protocols), b", ".join(values(headers, b"sec-websocket-extensions"))
-    )
+    return Opening(key, origin, tuple(protocols), b", ".join(values(headers, b"sec-websocket-extensions")))
 
 
 def check_origin(opening: Opening, allowed: Iterable[str]) -> None:
--- a/granitepoint/websocket/messages.py
+++ b/granitepoint/websocket/messages.py
@@ -272,5 +272,3 @@
         for session in list(self.book.sessions.values()):
             if session.peer is not None:
                 each(session.peer)
-
-
--- a/granitepoint/websocket/peer.py
+++ b/granitepoint/websocket/peer.py
@@ -268,4 +268,3 @@
         one()
     if work[at_once:]:
         loop.call_soon(soon, loop, work[at_once:], at_once)
-
--- a/rigs/kiosks.py
+++ b/rigs/kiosks.py
@@ -26,6 +26,7 @@
 WAIT = re.compile(r"reconnect in ([0-9.]+) s")
 CODES = {"served": 200, "refused": 503, "failed": 502}
 GIVE_UP = 0.25  # s beyond a message's budget after which one without an outcome is written off
+TALKS = "/pantalla"  # the route of message mode; any other is a tunnel
 USUAL_WAIT = 1.0  # s, at the most, before it comes back where nobody told it how long
 
 
@@ -64,6 +65,7 @@
 class Kiosk(asyncio.Protocol):
     def __init__(self, owner: Kiosks, name: str, path: str, comes_back: bool) -> None:
         self.owner, self.name, self.path, self.comes_back = owner, name, path, comes_back
+        self.talks = path.startswith(TALKS)
         self.transport: Any = None
         self.frames: FrameProtocol | None = None
         self.parser: Any = None
@@ -130,7 +132,8 @@
                 if self.parser.get_status_code() != 101:
                     return
                 self.frames = FrameProtocol(client=True, extensions=[])
-                self.up, self.up_at = True, time.monotonic()
+                if not self.talks:
+                    self.up, self.up_at = True, time.monotonic()
             else:
                 return
         self.frames.receive_bytes(data)
@@ -170,6 +173,7 @@
         said = json.loads(text)
         if "session" in said:
             self.session = said["session"]
+            self.up, self.up_at = True, time.monotonic()  # what it sends now belongs to this session
             if not said["resumed"]:  # what was open is open for nobody any more
                 for id in list(self.open):
                     self._ended(id, 502)
--- /dev/null
+++ b/tests/websocket/test_handshake.py
@@ -0,0 +1,132 @@
+"""The opening handshake, both sides, without a socket."""
+
+from __future__ import annotations
+
+import base64
+
+import pytest
+
+from granitepoint.websocket.handshake import (
+    Asking,
+    Declined,
+    Opening,
+    accept_of,
+    check_origin,
+    choose,
+    read_opening,
+    response,
+)
+
+KEY = b"dGhlIHNhbXBsZSBub25jZQ=="  # RFC 6455, 1.3
+GOOD = (
+    (b"host", b"x"),
+    (b"upgrade", b"websocket"),
+    (b"connection", b"Upgrade"),
+    (b"sec-websocket-key", KEY),
+    (b"sec-websocket-version", b"13"),
+)
+
+
+def changed(**fields: bytes | None) -> list[tuple[bytes, bytes]]:
+    """GOOD with these in place of its own; None: without."""
+    names = {name.replace("_", "-").encode(): value for name, value in fields.items()}
+    kept = [pair for pair in GOOD if pair[0] not in names]
+    return kept + [(name, value) for name, value in names.items() if value is not None]
+
+
+def test_the_accept_key_is_that_of_the_rfc() -> None:
+    assert accept_of(KEY) == b"s3pPLMBiTxaQ9kYGzzhZRbK+xOo="
+
+
+def test_a_good_request_is_read() -> None:
+    headers = changed(
+        connection=b"keep-alive, UPGRADE",
+        upgrade=b"WebSocket",
+        origin=b"https://k",
+        sec_websocket_protocol=b"a, b",
+    )
+    opening = read_opening(b"GET", "1.1", headers, False)
+    assert opening == Opening(KEY, b"https://k", (b"a", b"b"), b"")
+
+
+@pytest.mark.parametrize(
+    ("fields", "code"),
+    [
+        ({"upgrade": b"h2c"}, 400),
+        ({"upgrade": b"websocket, h2c"}, 400),
+        ({"upgrade": None}, 400),
+        ({"connection": b"keep-alive"}, 400),
+        ({"connection": None}, 400),
+        ({"sec_websocket_version": b"8"}, 426),
+        ({"sec_websocket_version": None}, 426),
+        ({"sec_websocket_key": None}, 400),
+        ({"sec_websocket_key": b"short"}, 400),
+        ({"sec_websocket_key": base64.b64encode(b"x" * 15)}, 400),
+        ({"sec_websocket_key": KEY + b"\xff"}, 400),
+        ({"transfer_encoding": b"chunked"}, 400),
+        ({"sec_websocket_protocol": b"a, a"}, 400),
+        ({"sec_websocket_protocol": b"a b"}, 400),
+        ({"sec_websocket_protocol": b",".join(b"p%d" % n for n in range(17))}, 400),
+    ],
+)
+def test_what_the_rfc_has_refused_is_refused(fields: dict[str, bytes | None], code: int) -> None:
+    with pytest.raises(Declined) as no:
+        read_opening(b"GET", "1.1", changed(**fields), False)
+    assert no.value.code == code
+    if code == 426:
+        assert no.value.headers == ((b"sec-websocket-version", b"13"),)
+
+
+def test_doubled_fields_a_body_other_methods_and_versions_are_refused() -> None:
+    for headers in ([*GOOD, (b"sec-websocket-key", KEY)], [*GOOD, (b"sec-websocket-version", b"13")],
+                    [*GOOD, (b"upgrade", b"websocket")],
+                    [*GOOD, (b"origin", b"a"), (b"origin", b"b")]):  # fmt: skip
+        with pytest.raises(Declined):
+            read_opening(b"GET", "1.1", headers, False)
+    for method, version, body in ((b"POST", "1.1", False), (b"GET", "1.0", False), (b"GET", "1.1", True)):
+        with pytest.raises(Declined):
+            read_opening(method, version, GOOD, body)
+
+
+def test_origins_bind_browsers_alone() -> None:
+    opening = read_opening(b"GET", "1.1", changed(origin=b"https://Kiosk.example"), False)
+    check_origin(opening, ["https://kiosk.example"])
+    check_origin(opening, [])
+    with pytest.raises(Declined) as no:
+        check_origin(opening, ["https://other.example"])
+    assert no.value.code == 403
+    check_origin(read_opening(b"GET", "1.1", GOOD, False), ["https://other.example"])
+
+
+def test_a_subprotocol_is_the_clients_first_that_is_served() -> None:
+    opening = read_opening(b"GET", "1.1", changed(sec_websocket_protocol=b"a, b, c"), False)
+    assert choose(opening, ["c", "b"]) == b"b" and choose(opening, ["z"]) == b""
+    assert b"\r\nsec-websocket-protocol: b\r\n" in response(opening, b"b")
+    assert b"protocol" not in response(opening, b"") and b"extensions" not in response(opening, b"")
+
+
+def proof(asking: Asking, **fields: bytes) -> list[tuple[bytes, bytes]]:
+    found = {
+        b"upgrade": b"websocket",
+        b"connection": b"upgrade",
+        b"sec-websocket-accept": accept_of(asking.key),
+    }
+    return list((found | {name.replace("_", "-").encode(): value for name, value in fields.items()}).items())
+
+
+def test_a_nodes_101_must_prove_that_it_read_the_key() -> None:
+    asking = Asking((b"a",))
+    lines = asking.lines(b"n" * 16)
+    assert b"sec-websocket-key: " + base64.b64encode(b"n" * 16) + b"\r\n" in lines
+    assert b"sec-websocket-protocol: a\r\n" in lines and b"extensions" not in lines
+    assert asking.proven(proof(asking)) is None
+    assert asking.proven(proof(asking, sec_websocket_protocol=b"a")) is None
+    for wrong in (
+        {"sec_websocket_accept": accept_of(KEY)}, {"upgrade": b"h2c"}, {"connection": b"close"},
+        {"sec_websocket_extensions": b"permessage-deflate"}, {"sec_websocket_protocol": b"b"},
+        {"sec_websocket_protocol": b"a, a"},
+    ):  # fmt: skip
+        assert asking.proven(proof(asking, **wrong)), wrong
+    before = proof(asking)
+    asking.lines(b"m" * 16)  # the next attempt has its own key
+    assert asking.proven(before)
