--- /dev/null
+++ b/rigs/frames.py
@@ -0,0 +1,39 @@
+"""WebSocket frames as a client sends them, also those that it must not, and seeded streams of them."""
+
+from __future__ import annotations
+
+import struct
+from random import Random
+
+MASK = b"\x01\x02\x03\x04"
+
+
+def frame(
+    opcode: int, data: bytes = b"", fin: bool = True, rsv: int = 0, mask: bool = True, length: bytes = b""
+) -> bytes:
+    """`length`: the bytes of the length, in place of the right ones."""
+    if not length:
+        size = len(data)
+        length = bytes([size]) if size < 126 else b"\x7e" + struct.pack("!H", size)
+        if size > 65535:
+            length = b"\x7f" + struct.pack("!Q", size)
+    head = bytes([(0x80 if fin else 0) | rsv << 4 | opcode])
+    if not mask:
+        return head + length + data
+    masked = bytes(byte ^ MASK[n % 4] for n, byte in enumerate(data))
+    return head + bytes([length[0] | 0x80]) + length[1:] + MASK + masked
+
+
+def stream(draw: Random) -> bytes:
+    """Up to five frames, most of them good."""
+    return b"".join(
+        frame(
+            draw.choice((1, 2, 2, 9, 10)) if draw.random() < 0.9 else draw.randrange(16),
+            draw.randbytes(draw.choice((0, 1, 2, 5, 130))) if draw.random() < 0.1 else b"texto",
+            draw.random() < 0.95,
+            0 if draw.random() < 0.97 else draw.randrange(8),
+            draw.random() < 0.98,
+            b"" if draw.random() < 0.98 else bytes([draw.randrange(128)]) + draw.randbytes(8),
+        )
+        for _ in range(draw.randrange(1, 6))
+    )
--- a/rigs/kiosks.py
+++ b/rigs/kiosks.py
@@ -77,6 +77,8 @@
         self.up_at = 0.0
         self.parts: list[str] = []
         self.texts: list[str] = []  # what a tunnel brought
+        self.served = 0  # outcomes that were
+        self.said = asyncio.Event()  # something has come
         self.told: float | None = None  # the wait of the last close frame
         self.closed_with = 1006
         self.busy = False  # its next connection is on its way
@@ -166,6 +168,7 @@
 
     # messages
     def _text(self, text: str) -> None:
+        self.said.set()
         if not text.startswith("{"):
             self.texts.append(text)
             self.owner.echoed += 1
@@ -184,6 +187,7 @@
             return
         self.seen = max(self.seen, said["n"])
         self.owner.outcomes[said["outcome"]] += 1
+        self.served += said["outcome"] == "served"
         if said["id"] in self.open:
             self._ended(said["id"], CODES[said["outcome"]])
         else:  # the audit is to find it
--- a/rigs/wsnode.py
+++ b/rigs/wsnode.py
@@ -166,7 +166,7 @@
             self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(LOAD), LOAD))
             return
         now = time.monotonic()
-        call, key = fields[b"x-call-id"].decode(), fields.get(b"idempotency-key", b"").decode()
+        call, key = fields.get(b"x-call-id", b"").decode(), fields.get(b"idempotency-key", b"").decode()
         via = fields.get(b"x-via", b"").decode()
         self.attempt = attempt = self.node.ledger.attempt(
             call, self.node.name, self.node.zone, now, key=key, proxy=via, whole=now
--- a/tests/rigs/test_proofs.py
+++ b/tests/rigs/test_proofs.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from benchmarks import budgets, ephemeral, per_call, proof, sidecar
+from benchmarks import budgets, ephemeral, per_call, proof, sidecar, websocket
 from granitepoint.sidecar.__main__ import main
 from granitepoint.sidecar.description import load
 from rigs.trial import rows
@@ -97,6 +97,16 @@
     assert "histories_broken 0 " in said and "loop_3_hops 3 " in said
 
 
+def test_the_proof_of_websocket_holds_in_small(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr(websocket, "SHORT", websocket.Size(160, 4, 1.0, 300, 50, 80, 0.5))
+    code = proof.run("websocket", websocket.measure, ["--short"])
+    said = capsys.readouterr().out
+    assert code == 0, said
+    assert "rules_broken 0 " in said and "fuzz_wrong 0 " in said and "tunnel_to_relay" in said
+
+
 def test_the_cost_per_call_is_measured(
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tests/websocket/test_codec.py
+++ b/tests/websocket/test_codec.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import struct
 import tracemalloc
 import zlib
@@ -11,27 +10,11 @@
 import pytest
 from wsproto.frame_protocol import FrameProtocol, Opcode
 
+from benchmarks.websocket import fuzz_frames
 from granitepoint.websocket.closing import TABLE, Event, State, Step
 from granitepoint.websocket.codec import MOST_FRAGMENTS, Close, Codec, Fault, Piece, Ping, Pong
 from granitepoint.websocket.deflate import FLOOR, Agreed, Deflate, negotiate
-
-MASK = b"\x01\x02\x03\x04"
-
-
-def frame(
-    opcode: int, data: bytes = b"", fin: bool = True, rsv: int = 0, mask: bool = True, length: bytes = b""
-) -> bytes:
-    """One as a client sends it, also what it must not. `length`: in place of the right one."""
-    if not length:
-        size = len(data)
-        length = bytes([size]) if size < 126 else b"\x7e" + struct.pack("!H", size)
-        if size > 65535:
-            length = b"\x7f" + struct.pack("!Q", size)
-    head = bytes([(0x80 if fin else 0) | rsv << 4 | opcode])
-    if not mask:
-        return head + length + data
-    masked = bytes(byte ^ MASK[n % 4] for n, byte in enumerate(data))
-    return head + bytes([length[0] | 0x80]) + length[1:] + MASK + masked
+from rigs.frames import frame
 
 
 def fault_of(data: bytes, most: int = 1000) -> int:
@@ -225,40 +208,9 @@
     assert len(list(small.events())) >= 1
 
 
-def streams(seed: int, count: int) -> tuple[int, int]:
-    """So many seeded streams of good, odd and broken frames, cut anywhere: how many ended by a fault, and how
-    many events came of all."""
-    draw = random.Random(seed)
-    faults = events = 0
-    for _ in range(count):
-        data = b"".join(
-            frame(
-                draw.choice((1, 2, 2, 9, 10)) if draw.random() < 0.9 else draw.randrange(16),
-                draw.randbytes(draw.choice((0, 1, 2, 5, 130))) if draw.random() < 0.1 else b"texto",
-                draw.random() < 0.95,
-                0 if draw.random() < 0.97 else draw.randrange(8),
-                draw.random() < 0.98,
-                b"" if draw.random() < 0.98 else bytes([draw.randrange(128)]) + draw.randbytes(8),
-            )
-            for _ in range(draw.randrange(1, 6))
-        )
-        codec = Codec(False, 4096)
-        place = 0
-        try:
-            while place < len(data):
-                step = draw.randrange(1, len(data) + 1)
-                codec.receive(data[place : place + step])
-                place += step
-                events += sum(1 for _ in codec.events())
-        except Fault as fault:
-            assert fault.code in (1002, 1007, 1008, 1009)
-            faults += 1
-    return faults, events
-
-
 def test_a_fuzz_of_frames_ends_in_events_or_faults_and_nothing_else() -> None:
-    faults, events = streams(1, 2000)
-    assert 200 < faults < 1800 and events > 2000
+    found = fuzz_frames(1, 2000)
+    assert 200 < found.faults < 1800 and found.events > 2000 and not found.wrong
 
 
 def test_the_masks_of_this_side_differ() -> None:
--- a/tests/websocket/test_tunnels.py
+++ b/tests/websocket/test_tunnels.py
@@ -8,10 +8,10 @@
 import time
 
 import pytest
-from test_codec import frame
 from wskit import CONFIG, PATIENCE, Made, Raw, run, running
 from wsproto.frame_protocol import Opcode
 
+from rigs.frames import frame
 from rigs.kit import until
 from rigs.wsnode import Fault
 
--- a/tests/websocket/wskit.py
+++ b/tests/websocket/wskit.py
@@ -157,8 +157,7 @@
     more: dict[str, Any] | None = None,
     **changes: Any,
 ) -> AsyncIterator[Made]:
-    """`faults`: of each node in turn; `service`: s that they work on a call; `more`: for the platform's JSON.
-    """
+    """`faults`: of each node in turn; `service`: s that they work on a call; `more`: of the JSON."""
     ledger = Ledger()
     padron = Padron(ledger)
     count = max(nodes, len(faults))
