--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -450,9 +450,11 @@
     ) -> None:
         """The call is over as far as it is decided on; to the module it is a stream until its end."""
 
+        begun, call_number = exchange.started_at, call.number  # nothing else of them is kept for so long
+
         def over(status: api.Status) -> None:
-            elapsed = time.monotonic() - exchange.started_at
-            self._push(api.Outcome(call.number, number, server, status, elapsed, True))
+            elapsed = time.monotonic() - begun
+            self._push(api.Outcome(call_number, number, server, status, elapsed, True))
 
         self.ids.discard(call.request.id)
         if not call.open:
--- a/granitepoint/operator/schema.py
+++ b/granitepoint/operator/schema.py
@@ -244,6 +244,6 @@
                      "unread_bytes is under message_bytes: one long outcome would close its session",
                      f"write unread_bytes = {table.message_bytes} or more")  # fmt: skip
     if table.ping_timeout > table.ping_every:
-        reader.wrong((*path, "ping_timeout"), "S107",
+        reader.wrong((*path, "ping_every"), "S107",
                      "ping_timeout is over ping_every: a silent peer would be awaited past its next ping",
-                     f"write ping_timeout = {table.ping_every:g} or less")  # fmt: skip
+                     f"write ping_every = {table.ping_timeout:g} or more, or less ping_timeout")  # fmt: skip
--- a/granitepoint/websocket/tunnel.py
+++ b/granitepoint/websocket/tunnel.py
@@ -58,10 +58,17 @@
 class Tunnel:
     """net.server.Reply for the handshake, net.driver.Switch for its attempts."""
 
+    __slots__ = (
+        "asking", "bucket", "client", "connection", "from_client", "front", "node", "opening", "origin",
+        "over", "tenant",
+    )  # fmt: skip
+
     def __init__(self, front: Front, connection: Any, opening: Opening, client: str, tenant: str) -> None:
-        self.front, self.connection, self.opening = front, connection, opening
+        self.front = front
+        self.connection: Any = connection  # these three until the 101
+        self.opening: Opening | None = opening
         self.from_client, self.tenant = client, tenant
-        self.asking = Asking(opening.protocols)
+        self.asking: Asking | None = Asking(opening.protocols)
         self.client, self.node = Side(self, True), Side(self, False)
         self.origin: Connection | None = None  # the node's connection, as the pool counts it
         self.over: Callable[[Status], None] | None = None  # tells the module the end, once
@@ -82,9 +89,11 @@
         self.answer(502, (), b"the node answered with no WebSocket\n")
 
     def lines(self) -> bytes:
+        assert self.asking is not None
         return self.asking.lines(os.urandom(16))
 
     def proven(self, headers: list[tuple[bytes, bytes]]) -> str | None:
+        assert self.asking is not None
         return self.asking.proven(headers)
 
     def dropped(self) -> None:
@@ -96,13 +105,15 @@
     ) -> None:  # fmt: skip
         """A node has taken it: both ends are frames from here on."""
         front, transport = self.front, connection.transport
-        assert transport is not None
+        opening = self.opening
+        assert transport is not None and opening is not None
         self.origin, self.over = connection, over
         most = front.settings.message_bytes
         chosen = next((value for name, value in headers if name == b"sec-websocket-protocol"), b"")
         node = Peer(transport, Codec(True, most), self.node, front.scratch, server=False)
         self.node.peer = node
-        self.client.peer = front.hand_over(self.connection, self.opening, chosen, self.client)
+        self.client.peer = front.hand_over(self.connection, opening, chosen, self.client)
+        self.connection = self.opening = self.asking = None
         front.open_tunnel(self)
         node.behind(rest)
 
--- a/tests/operator/test_operator_file.py
+++ b/tests/operator/test_operator_file.py
@@ -13,6 +13,7 @@
 
 ROOT = Path(__file__).parent.parent.parent
 GOOD = '[membership]\nservers = ["127.0.0.1:2181"]\npath = "/salas/portal"\n'
+WS = '[websocket]\nmessages = ["pantalla"]\n'
 
 # text, line, what the message names
 BROKEN: dict[str, tuple[str, int, str]] = {
@@ -49,6 +50,17 @@
     ),
     "name with a slash": (GOOD + '[registration]\nname = "a/b"\naddress = "127.0.0.1:1"\n', 5, "without /"),
     "address, no port": (GOOD + '[registration]\nname = "a"\naddress = "x"\n', 6, "must hold host:port"),
+    "websocket for nobody": ("[websocket]\n", 1, 'write messages = ["pantalla"]'),
+    "a route with a slash": ('[websocket]\nmessages = ["a/b"]\n', 2, "first parts of paths"),
+    "a route in both modes": (WS + 'tunnels = ["pantalla"]\n', 3, "give each route one mode"),
+    "an origin with a path": (WS + 'origins = ["https://k.example/"]\n', 3, "without a path"),
+    "a subprotocol with a space": (WS + 'subprotocols = ["a b"]\n', 3, "tokens"),
+    "a message over 64 KiB": (WS + "message_bytes = 65537\n", 3, "between 125 and 65536"),
+    "a burst below the rate": (WS + "messages_per_s = 1000.0\nburst = 40.0\n", 4, "burst = 100 or more"),
+    "more of a tenant than of all": (WS + "sessions_per_tenant = 257\n", 3, "tenant = 256 or less"),
+    "an outcome longer than what may wait": (WS + "unread_bytes = 2000\n", 3, "unread_bytes = 65536 or more"),
+    "pongs awaited past the next ping": (WS + "ping_every = 2.0\n", 3, "write ping_every = 5 or more"),
+    "a window of 8 bits": (WS + "deflate_window_bits = 8\n", 3, "between 9 and 15"),
     "a line far down, in a list": (
         GOOD.replace('["127.0.0.1:2181"]', '[\n  "127.0.0.1:2181", # one\n  "[::1]:2182",\n]') + "reed = 1\n",
         7,
