--- a/granitepoint/websocket/messages.py
+++ b/granitepoint/websocket/messages.py
@@ -137,8 +137,7 @@
         if peer is None or not peer.send(text):
             return False
         if peer.unsent > front.settings.unread_bytes:
-            peer.close(1008, "outcomes are not read")
-            peer.abort()
+            peer.fail(1008, "outcomes are not read")
         else:
             front.wrote(self, peer)
         return True
