--- a/granitepoint/websocket/tunnel.py
+++ b/granitepoint/websocket/tunnel.py
@@ -180,8 +180,7 @@
         """The node drains, or this proxy does: nothing more to it, and its client is told when to come
         back."""
         if self.client.peer is not None:
-            self.client.peer.close(code, reason(self.front.spread.next()))
+            self.client.peer.close(code, reason(self.front.spread.next()))  # and so the node's, in ended()
         node = self.node.peer
         if node is not None:
-            node.close(1001, "left")
             asyncio.get_running_loop().call_later(LET_GO, node.abort)
--- a/tests/websocket/test_front.py
+++ b/tests/websocket/test_front.py
@@ -4,17 +4,21 @@
 
 import asyncio
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
-from wskit import CONFIG, run, running
+from wskit import CONFIG, PATIENCE, run, running
 
+from granitepoint.interface import Status
 from granitepoint.operator import WebSocket
+from granitepoint.websocket.codec import ABNORMAL
 from granitepoint.websocket.front import Front
 from granitepoint.websocket.messages import Talk, Talks
 from granitepoint.websocket.sessions import Session
+from granitepoint.websocket.tunnel import Side, Tunnel
 from rigs.program import ROOT
 from rigs.wsnode import Fault, read_script
 
@@ -72,10 +76,45 @@
     )
     talk = Talk(talks, Session("t", ""), "127.0.0.1", 0.0)
     talk.peer = peer  # type: ignore[assignment]
-    assert talk.tell("x" * 1024) and not peer.failed
-    assert talk.tell("x")
-    assert peer.failed == int(1008)
-    assert not talk.tell("y") and peer.unsent == 1025
+    told = [(talk.tell(text), peer.failed) for text in ("x" * 1024, "x", "y")]
+    assert told == [(True, 0), (True, 1008), (False, 1008)] and peer.unsent == 1025
+
+
+def test_a_node_that_answers_no_close_frame_is_let_go_of() -> None:
+    async def test() -> None:
+        done = asyncio.Event()
+        tunnel = Tunnel.__new__(Tunnel)
+        tunnel.client, tunnel.node = Side(tunnel, True), Side(tunnel, False)
+        tunnel.node.peer = SimpleNamespace(abort=done.set)  # type: ignore[assignment]
+        tunnel.leave_node(1012)
+        assert not done.is_set()
+        async with asyncio.timeout(PATIENCE):
+            await done.wait()
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("end", "status"),
+    [
+        (lambda t: t.ended(t.client, 1000, ""), Status.OK),
+        (lambda t: t.ended(t.client, ABNORMAL, ""), Status.OK),
+        (lambda t: t.ended(t.node, 1000, ""), Status.OK),
+        (lambda t: t.ended(t.node, ABNORMAL, ""), Status.RESET),
+        (lambda t: t.silent(t.node), Status.TIMEOUT),
+    ],
+)
+def test_the_module_is_told_the_end_of_a_tunnel_once(end: Callable[[Tunnel], None], status: Status) -> None:
+    """It counts the sessions of a node until then."""
+    tunnel, told = Tunnel.__new__(Tunnel), list[Status]()
+    tunnel.client, tunnel.node = Side(tunnel, True), Side(tunnel, False)
+    tunnel.node.peer = SimpleNamespace(  # type: ignore[assignment]
+        abort=lambda: tunnel.ended(tunnel.node, ABNORMAL, ""), close=lambda *how: None, faulty=False
+    )
+    tunnel.over = told.append
+    end(tunnel)
+    end(tunnel)
+    assert told == [status]
 
 
 def test_budgets_and_messages_go_together(tmp_path: Path) -> None:
