--- a/rigs/wsnode.py
+++ b/rigs/wsnode.py
@@ -36,9 +36,9 @@
     "slow",  # reads nothing for a while, so that the sender's buffers fill
     "reset", "close", "masked", "reserved", "opcode", "utf8", "long", "unasked", "close-1",
     # Of the handshake, whatever `after` says:
-    "decline", "reject", "wrong-key", "no-answer", "plain", "extension", "behind",
+    "decline", "reject", "wrong-key", "no-answer", "plain", "extension", "behind", "late",
 )  # fmt: skip
-HANDSHAKE = frozenset(("decline", "reject", "wrong-key", "no-answer", "plain", "extension", "behind"))
+HANDSHAKE = frozenset(("decline", "reject", "wrong-key", "no-answer", "plain", "extension", "behind", "late"))
 SLOW = 0.5  # s
 
 
@@ -220,12 +220,20 @@
             accept = base64.b64encode(b"x" * 20)
         if what == "extension":
             more += b"Sec-WebSocket-Extensions: permessage-deflate\r\n"
+        if what == "late":
+            node.loop.call_later(SLOW, self._accept, accept, more, "")
+        else:
+            self._accept(accept, more, what)
+
+    def _accept(self, accept: bytes, more: bytes, what: str) -> None:
+        if self.transport is None:
+            return
         self.frames = FrameProtocol(client=False, extensions=[])
         head = (b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
                 b"Sec-WebSocket-Accept: " + accept + b"\r\n" + more + b"\r\n")  # fmt: skip
         behind = bytes(self.frames.send_data("behind")) if what == "behind" else b""
         self.transport.write(head + behind)
-        node.open.add(self)
+        self.node.open.add(self)
         self._do(self._fault(False))
 
     def _frames(self, data: bytes) -> None:
--- a/tests/websocket/test_tunnels.py
+++ b/tests/websocket/test_tunnels.py
@@ -192,6 +192,39 @@
     run(test())
 
 
+def test_a_101_that_comes_after_the_drain_was_told_opens_nothing_for_long() -> None:
+    async def test() -> None:
+        async with running((Fault("late"),)) as made:
+            for _ in range(20):  # until the drain is told while a handshake goes on
+                raw = await made.client()
+                await until(lambda: any(a.ended > 1e9 for a in made.ledger.attempts), "it is asked")
+                at = await made.told(made.nodes[0], "Terminating")
+                if " 101 " in await raw.head():
+                    assert (await raw.closed())[0] == 1012
+                    await until(lambda: not made.nodes[0].open, "the node is left")
+                    assert time.monotonic() < at + 2.0
+                    assert made.audited() == []
+                    return
+                made.tell(made.nodes[0], "Ready")
+            raise AssertionError("no 101 ever came after the drain")
+
+    run(test())
+
+
+def test_a_node_that_is_another_one_by_now_is_left() -> None:
+    """The same name, begun anew: what was pinned to the old one is not the new one's."""
+
+    async def test() -> None:
+        async with running() as made:
+            raw = await made.opened()
+            made.padron.put(made.entry(made.nodes[0], since_ms=int(time.time() * 1000) + 1000))
+            code, said = await raw.closed()
+            assert code == 1012 and WAIT.fullmatch(said)
+            await until(lambda: not made.nodes[0].open, "the old one is left")
+
+    run(test())
+
+
 def test_sessions_of_a_drained_node_are_told_different_waits_and_come_back_elsewhere() -> None:
     async def test() -> None:
         config = FREE + "reconnect_spread = 1.0\n"
--- a/tests/websocket/test_upgrade.py
+++ b/tests/websocket/test_upgrade.py
@@ -153,6 +153,20 @@
     run(test())
 
 
+def test_a_client_that_leaves_in_the_handshake_gives_its_place_back() -> None:
+    async def test() -> None:
+        async with running((Fault("no-answer"),), config=CONFIG.replace("64", "1")) as made:
+            raw = await made.client("/vigia")
+            await until(lambda: made.nodes[0].sessions == 1, "the node is asked")
+            assert (await (await made.client("/pantalla")).head()).startswith("HTTP/1.1 503 ")
+            raw.writer.transport.abort()
+            async with asyncio.timeout(20):
+                while not (await (await made.client("/pantalla")).head()).startswith("HTTP/1.1 101 "):
+                    await asyncio.sleep(0.02)
+
+    run(test())
+
+
 def test_descriptors_that_run_out_take_nothing_from_sessions_or_from_callers() -> None:
     """Sessions have descriptors of their own; connections that say nothing use up the rest."""
 
