--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -8,6 +8,7 @@
 import json
 import os
 import signal
+import subprocess
 import sys
 import tempfile
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
@@ -215,6 +216,25 @@
             "limits": limits, "known": known, "settings": copy.deepcopy({**SETTINGS, **changes})}  # fmt: skip
 
 
+def loads(*prefixes: str) -> bool:
+    """Whether a proxy with all off has a module loaded whose name begins so; it is put together in a process
+    of its own."""
+    code = (
+        "import asyncio, sys\n"
+        "from granitepoint.assembly import Proxy\n"
+        "from granitepoint.net.config import read_config\n"
+        "from rigs.program import settings\n"
+        "raw = {'listen': '127.0.0.1:0', 'discovery': '127.0.0.1:1', 'settings': settings()}\n"
+        "async def test():\n"
+        "    Proxy(read_config(raw, {}), None).stop()\n"
+        "asyncio.run(test())\n"
+        f"sys.exit(7 if any(name.startswith({prefixes!r}) for name in sys.modules) else 0)\n"
+    )
+    code_of = subprocess.run([sys.executable, "-c", code], cwd=ROOT, timeout=PATIENCE).returncode
+    assert code_of in (0, 7)
+    return code_of == 7
+
+
 async def start_program(raw: object, folder: str, **variables: str) -> asyncio.subprocess.Process:
     path = Path(folder) / "config.json"
     path.write_text(raw if isinstance(raw, str) else json.dumps(raw), encoding="utf-8")
--- a/tests/operations/test_console.py
+++ b/tests/operations/test_console.py
@@ -6,8 +6,6 @@
 import contextlib
 import copy
 import json
-import subprocess
-import sys
 import tempfile
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -16,7 +14,6 @@
 import pytest
 from netkit import (
     PATIENCE,
-    ROOT,
     SETTINGS,
     Answer,
     Backend,
@@ -25,6 +22,7 @@
     config,
     endpoint,
     listing,
+    loads,
     next_call,
     read_message,
     run,
@@ -318,16 +316,4 @@
 
 
 def test_without_a_console_nothing_of_it_is_imported() -> None:
-    """A proxy is put together in a process of its own, which then looks at what it has loaded."""
-    code = (
-        "import asyncio, sys\n"
-        "from granitepoint.assembly import Proxy\n"
-        "from granitepoint.net.config import read_config\n"
-        "from rigs.program import settings\n"
-        "raw = {'listen': '127.0.0.1:0', 'discovery': '127.0.0.1:1', 'settings': settings()}\n"
-        "async def test():\n"
-        "    Proxy(read_config(raw, {}), None).stop()\n"
-        "asyncio.run(test())\n"
-        "sys.exit(any(name.startswith('granitepoint.operations') for name in sys.modules))\n"
-    )
-    assert subprocess.run([sys.executable, "-c", code], cwd=ROOT, timeout=PATIENCE).returncode == 0
+    assert not loads("granitepoint.operations")
--- a/tests/websocket/test_upgrade.py
+++ b/tests/websocket/test_upgrade.py
@@ -4,14 +4,12 @@
 
 import asyncio
 import contextlib
-import subprocess
-import sys
 
 import pytest
+from netkit import loads
 from wskit import CONFIG, Raw, run, running
 
 from rigs.kit import until
-from rigs.program import ROOT
 from rigs.wsnode import Fault
 
 
@@ -30,19 +28,7 @@
 
 
 def test_a_part_that_is_off_is_not_imported() -> None:
-    code = (
-        "import asyncio, sys\n"
-        "from granitepoint.assembly import Proxy\n"
-        "from granitepoint.net.config import read_config\n"
-        "from rigs.program import settings\n"
-        "raw = {'listen': '127.0.0.1:0', 'discovery': '127.0.0.1:1', 'settings': settings()}\n"
-        "async def test():\n"
-        "    Proxy(read_config(raw, {}), None).stop()\n"
-        "asyncio.run(test())\n"
-        "off = ('granitepoint.websocket', 'wsproto', 'h11')\n"
-        "sys.exit(any(name.startswith(off) for name in sys.modules))\n"
-    )
-    assert subprocess.run([sys.executable, "-c", code], cwd=ROOT, timeout=20).returncode == 0
+    assert not loads("granitepoint.websocket", "wsproto", "h11")
 
 
 @pytest.mark.parametrize(
