--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -550,15 +550,14 @@
                 self.keep_alive = False
                 advice = ((b"retry-after", b"1"), *self.server.never_ran)
                 self.answer(503, advice, b"too many connections\n")
-            elif isinstance(request, Upgrade):
-                assert self.server.upgrades is not None
-                self.switching = True
-                call = self.server.upgrades.asked(self, request)
-                if self.answering:
-                    self.call = call
             else:
                 try:
-                    call = self.server.handler.opened(request, self)
+                    if isinstance(request, Upgrade):
+                        assert self.server.upgrades is not None
+                        self.switching = True
+                        call = self.server.upgrades.asked(self, request)
+                    else:
+                        call = self.server.handler.opened(request, self)
                 except Exception:
                     log.exception("a request could not be taken")
                     self.answer(500, NO_HEADERS, b"internal error\n")
--- a/granitepoint/websocket/codec.py
+++ b/granitepoint/websocket/codec.py
@@ -62,7 +62,17 @@
 Event = Piece | Ping | Pong | Close
 
 
-class _Bounds(Extension):
+class OwnExtension(Extension):
+    """One that is in force from the start: the handshake is not wsproto's here."""
+
+    def enabled(self) -> bool:
+        return True
+
+    def offer(self) -> bool | str:
+        return False
+
+
+class _Bounds(OwnExtension):
     """Looks at each frame's head before any of its payload is taken."""
 
     name = "bounds"
@@ -72,12 +82,6 @@
         self.announced = self.frames = 0  # of the message that comes now
         self.fault: Fault | None = None
 
-    def enabled(self) -> bool:
-        return True
-
-    def offer(self) -> bool | str:
-        return False  # the handshake is not wsproto's here
-
     def frame_inbound_header(
         self, proto: FrameDecoder | FrameProtocol, opcode: Opcode, rsv: RsvBits, payload_length: int
     ) -> CloseReason | RsvBits:
--- a/granitepoint/websocket/deflate.py
+++ b/granitepoint/websocket/deflate.py
@@ -9,9 +9,10 @@
 import zlib
 from dataclasses import dataclass
 
-from wsproto.extensions import Extension
 from wsproto.frame_protocol import CloseReason, FrameDecoder, FrameProtocol, Opcode, RsvBits
 
+from granitepoint.websocket.codec import OwnExtension
+
 LEAST_PACKED = 256  # bytes of a message below which packing costs more than it saves
 FLOOR = 16 * 1024  # bytes that any message may unpack to, whatever its ratio
 TAIL = b"\x00\x00\xff\xff"  # what a sender leaves off (RFC 7692, 7.2.1)
@@ -68,7 +69,7 @@
     return int(text) if text.isdigit() and len(text) <= 2 and 8 <= int(text) <= MOST_BITS else None
 
 
-class Deflate(Extension):
+class Deflate(OwnExtension):
     """For one connection, on the server's side. wsproto calls it for each frame."""
 
     name = "permessage-deflate"
@@ -80,12 +81,6 @@
         self.came = self.made = 0  # bytes of it
         self.control = False  # the frame that comes now is a control frame
 
-    def enabled(self) -> bool:
-        return True
-
-    def offer(self) -> bool | str:
-        return False  # the handshake is not wsproto's here
-
     def frame_inbound_header(
         self, proto: FrameDecoder | FrameProtocol, opcode: Opcode, rsv: RsvBits, payload_length: int
     ) -> CloseReason | RsvBits:
--- a/granitepoint/websocket/front.py
+++ b/granitepoint/websocket/front.py
@@ -56,11 +56,11 @@
     """What the sessions leave of the process's descriptors and memory. Raises ConfigError."""
     each = 2 if settings.tunnels else 1
     sockets = config.sockets - each * settings.sessions
-    free = config.memory_mb - BASE_MEMORY
-    memory_mb = config.memory_mb - settings.sessions * SESSION_MEMORY - free * POOL_SHARE
+    pool_mb = pool_of(config) / 1e6
+    memory_mb = config.memory_mb - settings.sessions * SESSION_MEMORY - pool_mb
     if sockets < LEAST_SOCKETS or memory_mb < BASE_MEMORY + LEAST_CALLERS:
         by_sockets = (config.sockets - LEAST_SOCKETS) // each
-        by_memory = int((free * (1 - POOL_SHARE) - LEAST_CALLERS) / SESSION_MEMORY)
+        by_memory = int((config.memory_mb - pool_mb - BASE_MEMORY - LEAST_CALLERS) / SESSION_MEMORY)
         raise ConfigError(
             f"[websocket] sessions = {settings.sessions} does not go into {config.sockets} descriptors and "
             f"{config.memory_mb:g} MB: write sessions = {max(0, min(by_sockets, by_memory))} or less"
@@ -230,9 +230,6 @@
         request.switch = tunnel
         return driver.opened(request, tunnel)
 
-    def declined(self, tunnel: Tunnel) -> None:
-        self.doors.leave(tunnel.from_client, tunnel.tenant)
-
     def open_tunnel(self, tunnel: Tunnel) -> None:
         upstream, node = tunnel.upstream, tunnel.node.peer
         assert upstream is not None and node is not None
@@ -248,12 +245,12 @@
             if not here:
                 del self.tunnels[upstream]
 
-    def left(self, client: str, tenant: str, owner: object) -> None:
-        """A client's connection is gone."""
+    def left(self, client: str, tenant: str) -> None:
+        """A client's connection is gone, or was turned away after all."""
         self.doors.leave(client, tenant)
 
     # what clients have not taken
-    def wrote(self, owner: object, peer: Peer) -> None:
+    def wrote(self, peer: Peer) -> None:
         """After each write. Where all together hold too much, who holds the most is closed."""
         self._count(peer)
         while self.load > self.pool and self.loads:
--- a/granitepoint/websocket/messages.py
+++ b/granitepoint/websocket/messages.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from granitepoint.interface import Effect
@@ -29,10 +28,10 @@
 class MessageReply:
     """net.server.Reply of one message: exactly one outcome, to whichever connection the session has then."""
 
-    __slots__ = ("call", "id", "parts", "session", "size", "source", "talk")
+    __slots__ = ("call", "id", "parts", "session", "size", "source", "talks")
 
-    def __init__(self, talk: Talks, session: Session, id: str) -> None:
-        self.talk, self.session, self.id = talk, session, id
+    def __init__(self, talks: Talks, session: Session, id: str) -> None:
+        self.talks, self.session, self.id = talks, session, id
         self.call: Any = None  # the driver's, once it has it
         self.source: Source | None = None
         self.parts: list[bytes] = []  # of an answer that comes on
@@ -40,7 +39,7 @@
 
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         wait = next((float(value) for name, value in headers if name == b"retry-after"), 0.0)
-        self.talk.settle(self.session, self.id, code, body, wait)
+        self.talks.settle(self.session, self.id, code, body, wait)
 
     def stream(self, headers: Any, length: int | None, source: Source) -> None:
         """It ran; a message holds it whole or not at all."""
@@ -61,19 +60,19 @@
     def finish(self) -> None:
         if self.source is not None:
             self.source = None
-            self.talk.settle(self.session, self.id, 200, b"".join(self.parts))
+            self.talks.settle(self.session, self.id, 200, b"".join(self.parts))
 
     def broken_off(self) -> None:
         if self.source is not None:
             self.source = None
-            self.talk.settle(self.session, self.id, 502, b"the answer broke off\n")
+            self.talks.settle(self.session, self.id, 502, b"the answer broke off\n")
 
     def _too_long(self) -> None:
         source, self.source = self.source, None
         self.parts.clear()
         if source is not None:
             source.drop()
-        self.talk.settle(self.session, self.id, 502, b"the answer is too long for a message\n")
+        self.talks.settle(self.session, self.id, 502, b"the answer is too long for a message\n")
 
     def left(self, handler: Any) -> None:
         """Nobody waits for it any more."""
@@ -120,7 +119,7 @@
         self.talks.ended(self, code)
 
     def gone(self) -> None:
-        self.talks.front.left(self.client, self.session.tenant, self)
+        self.talks.front.left(self.client, self.session.tenant)
 
     def full(self, full: bool) -> None:
         assert self.peer is not None
@@ -139,7 +138,7 @@
         if peer.unsent > front.settings.unread_bytes:
             peer.fail(1008, "outcomes are not read")
         else:
-            front.wrote(self, peer)
+            front.wrote(peer)
         return True
 
 
@@ -266,8 +265,3 @@
         if oldest is not None:
             self.end(oldest)
         return oldest is not None
-
-    def close_all(self, each: Callable[[Talk], None]) -> None:
-        for session in list(self.book.sessions.values()):
-            if session.peer is not None:
-                each(session.peer)
--- a/granitepoint/websocket/peer.py
+++ b/granitepoint/websocket/peer.py
@@ -8,8 +8,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 from granitepoint.websocket.closing import TABLE, Event, State, Step
 from granitepoint.websocket.codec import ABNORMAL, MOST_REASON, Close, Codec, Fault, Piece, Ping, Pong
@@ -126,8 +125,6 @@
             raise Fault(1008, "too many pings")
         if isinstance(event, Ping):
             self.ponged = event.data  # the most recent one may stand for all (RFC 6455, 5.5.3)
-        else:
-            self.pinged_at = 0.0
 
     def hold(self, held: bool) -> None:
         """The owner has had enough for now, or no longer."""
@@ -260,11 +257,3 @@
         elif now > self.heard_at + ping_every:
             self.pinged_at = now
             self._write(self.codec.ping(b""))
-
-
-def soon(loop: asyncio.AbstractEventLoop, work: list[Callable[[], Any]], at_once: int) -> None:
-    """All of it, so many in one turn of the loop."""
-    for one in work[:at_once]:
-        one()
-    if work[at_once:]:
-        loop.call_soon(soon, loop, work[at_once:], at_once)
--- a/granitepoint/websocket/tunnel.py
+++ b/granitepoint/websocket/tunnel.py
@@ -81,7 +81,7 @@
     # before the 101
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         """No node took it: the connection stays HTTP's, and ends, for what comes behind may be frames."""
-        self.front.declined(self)
+        self.front.left(self.from_client, self.tenant)
         self.connection.answer(502 if code == 200 else code, headers, body)
 
     def stream(self, headers: Any, length: int | None, source: Any) -> None:
@@ -97,7 +97,7 @@
         return self.asking.proven(headers)
 
     def dropped(self) -> None:
-        self.front.declined(self)
+        self.front.left(self.from_client, self.tenant)
 
     def switched(
         self, connection: Connection, headers: list[tuple[bytes, bytes]], rest: bytes,
@@ -131,7 +131,7 @@
         other = self.other(side).peer
         if other is not None and (piece.data or piece.last):
             other.send(piece.data, piece.last)
-            self.front.wrote(self, other)
+            self.front.wrote(other)
 
     # ends
     def ended(self, side: Side, code: int, text: str) -> None:
@@ -152,7 +152,7 @@
 
     def gone(self, side: Side) -> None:
         if side.client:
-            self.front.left(self.from_client, self.tenant, self)
+            self.front.left(self.from_client, self.tenant)
         elif self.origin is not None:
             origin, self.origin = self.origin, None
             self.front.closed_tunnel(self, origin.upstream)
--- a/rigs/backend.py
+++ b/rigs/backend.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from rigs.kit import listen
 from rigs.ledger import OPEN, Attempt, Ledger, Start
 
 LOAD = b"inflight=0,queue=0"
@@ -58,12 +59,7 @@
 
     async def start(self, cold: bool = False) -> str:
         """Listens where it did before, if it did."""
-        port = int(self.address.rpartition(":")[2]) if self.address else 0
-        self.server = await self.loop.create_server(
-            lambda: _Connection(self), "127.0.0.1", port, reuse_address=True, backlog=256
-        )
-        host, port = self.server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
+        self.server, self.address = await listen(lambda: _Connection(self), self.address)
         if cold:
             self.since_ms = int(time.time() * 1000)
             self.ledger.starts.append(Start(self.name, time.monotonic(), self.capacity))
--- a/rigs/kiosks.py
+++ b/rigs/kiosks.py
@@ -74,7 +74,6 @@
         self.count = 0
         self.open: dict[str, asyncio.TimerHandle] = {}
         self.up = self.over = False  # in frames; wanted no more
-        self.up_at = 0.0
         self.parts: list[str] = []
         self.texts: list[str] = []  # what a tunnel brought
         self.served = 0  # outcomes that were
@@ -135,7 +134,7 @@
                     return
                 self.frames = FrameProtocol(client=True, extensions=[])
                 if not self.talks:
-                    self.up, self.up_at = True, time.monotonic()
+                    self.up = True
             else:
                 return
         self.frames.receive_bytes(data)
@@ -176,7 +175,7 @@
         said = json.loads(text)
         if "session" in said:
             self.session = said["session"]
-            self.up, self.up_at = True, time.monotonic()  # what it sends now belongs to this session
+            self.up = True  # what it sends now belongs to this session
             if not said["resumed"]:  # what was open is open for nobody any more
                 for id in list(self.open):
                     self._ended(id, 502)
--- a/rigs/kit.py
+++ b/rigs/kit.py
@@ -23,6 +23,18 @@
         await asyncio.sleep(STEP)
 
 
+async def listen(
+    factory: Callable[[], asyncio.Protocol], address: str = "", backlog: int = 256
+) -> tuple[asyncio.Server, str]:
+    """On loopback, at the port that the address names, or at a free one; with the address that it has now."""
+    port = int(address.rpartition(":")[2]) if address else 0
+    server = await asyncio.get_running_loop().create_server(
+        factory, "127.0.0.1", port, reuse_address=True, backlog=backlog
+    )
+    host, port = server.sockets[0].getsockname()[:2]
+    return server, f"{host}:{port}"
+
+
 class LoopThread:
     """An event loop in a thread of its own, for rigs beside clients that block."""
 
--- a/rigs/padron.py
+++ b/rigs/padron.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from rigs.kit import listen
 from rigs.ledger import Ledger, Told
 
 Entry = dict[str, Any]
@@ -45,9 +46,7 @@
         self.silent = False
 
     async def start(self) -> str:
-        self.server = await self.loop.create_server(lambda: _Connection(self), "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
+        self.server, self.address = await listen(lambda: _Connection(self))
         return self.address
 
     def stop(self) -> None:
--- a/rigs/wsnode.py
+++ b/rigs/wsnode.py
@@ -26,6 +26,7 @@
 from wsproto.frame_protocol import CloseReason, FrameProtocol, Opcode, ParseFailed
 
 from rigs.backend import LOAD
+from rigs.kit import listen
 from rigs.ledger import Attempt, Ledger
 
 GUID = b"258EAFA5-E914-47DA-95CA-C5AB0DC85B11"
@@ -97,16 +98,11 @@
         self.answers_closes = True
         self.open: set[_Node] = set()  # sessions
         self.closes: Counter[int] = Counter()  # codes that came; 1006: none did
-        self.codes: Counter[int] = Counter()  # answers to plain calls
         self.heard: list[str | bytes] = []  # messages
 
     async def start(self) -> str:
-        port = int(self.address.rpartition(":")[2]) if self.address else 0
-        self.server = await self.loop.create_server(
-            lambda: _Node(self), "127.0.0.1", port, reuse_address=True, backlog=1024
-        )
-        host, port = self.server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
+        """Listens where it did before, if it did."""
+        self.server, self.address = await listen(lambda: _Node(self), self.address, 1024)
         return self.address
 
     def stop(self) -> None:
--- a/tests/websocket/test_front.py
+++ b/tests/websocket/test_front.py
@@ -56,23 +56,23 @@
     front.pool, front.load, front.loads = 1000, 0, {}
     peers = [Loaded(load) for load in (300, 400, 200)]
     for peer in peers:
-        front.wrote(None, peer)
+        front.wrote(peer)
     assert front.load == 900 and not any(peer.failed for peer in peers)
     peers[0].load = 350
-    front.wrote(None, peers[0])
+    front.wrote(peers[0])
     assert front.load == 950
     peers[2].load = 260  # 1,010 in all
-    front.wrote(None, peers[2])
+    front.wrote(peers[2])
     assert [peer.failed for peer in peers] == [0, 1008, 0] and front.load == 610
     peers[0].load = 0
-    front.wrote(None, peers[0])
+    front.wrote(peers[0])
     assert front.load == 260 and set(front.loads) == {peers[2]}
 
 
 def test_a_session_that_has_too_much_unread_is_closed_and_told_nothing_more() -> None:
     peer, talks = Unread(), Talks.__new__(Talks)
     talks.front = SimpleNamespace(  # type: ignore[assignment]
-        settings=WebSocket(messages=("pantalla",), unread_bytes=1024), wrote=lambda owner, peer: None
+        settings=WebSocket(messages=("pantalla",), unread_bytes=1024), wrote=lambda peer: None
     )
     talk = Talk(talks, Session("t", ""), "127.0.0.1", 0.0)
     talk.peer = peer  # type: ignore[assignment]
