--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -18,21 +18,12 @@
 from granitepoint.net.bodies import Body
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import WALL_OFFSET, Discovery
+from granitepoint.net.fields import HOP_BY_HOP
 from granitepoint.net.filters import Filter, Ticket, Turned, ask, taken_by
-from granitepoint.net.limits import UPSTREAM_SHARE
+from granitepoint.net.limits import LATE, ONE_TURN, UPSTREAM_SHARE
 from granitepoint.net.listing import Listing, read_listing
 from granitepoint.net.server import Page, Pages, Reply, Request
-from granitepoint.net.upstream import (
-    HOP_BY_HOP,
-    IDLE_SHARE,
-    LATE,
-    ONE_TURN,
-    STALLED,
-    Connection,
-    Exchange,
-    SwitchExchange,
-    Upstreams,
-)
+from granitepoint.net.upstream import IDLE_SHARE, STALLED, Connection, Exchange, SwitchExchange, Upstreams
 
 log = logging.getLogger(__name__)
 
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -13,10 +13,11 @@
 
 import httptools
 
-from granitepoint.interface import Effect, Status
+from granitepoint.interface import Effect
 from granitepoint.net.bodies import Body, chunk_of
-from granitepoint.net.limits import UPSTREAM_SHARE
-from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, closes, read_field
+from granitepoint.net.fields import HOP_BY_HOP, closes, read_field
+from granitepoint.net.limits import LATE, ONE_TURN, UPSTREAM_SHARE
+from granitepoint.net.protocols import Source, Switch
 
 log = logging.getLogger(__name__)
 
@@ -75,19 +76,6 @@
     switch: Switch | None = None  # it asks for an upgrade, and this is who wants it
 
 
-class Source(Protocol):
-    """An answer that comes on by and by, for a net.upstream.Sink."""
-
-    def relay(self, sink: Any) -> None: ...
-
-    def pause(self) -> None: ...
-
-    def resume(self) -> None: ...
-
-    def drop(self) -> None:
-        """Nobody takes the rest."""
-
-
 class Reply(Protocol):
     """Where a call's answer goes: whole, or as it comes."""
 
@@ -97,24 +85,6 @@
         """A 200 of this length; None: it ends when it ends."""
 
 
-class Switch(Protocol):
-    """Who wants a connection to a backend that is no HTTP any more: a request for an upgrade."""
-
-    def lines(self) -> bytes:
-        """Header lines of the next attempt."""
-
-    def proven(self, headers: list[tuple[bytes, bytes]]) -> str | None:
-        """What is wrong with the 101; None: nothing."""
-
-    def switched(
-        self, connection: Any, headers: list[tuple[bytes, bytes]], rest: bytes, over: Callable[[Status], None]
-    ) -> None:
-        """It is theirs from now on, with what came behind the 101. `over` is called once, at its end."""
-
-    def dropped(self) -> None:
-        """Who asked for it has gone first."""
-
-
 class Handler(Protocol):
     """What the callers' side asks of the driver."""
 
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -13,17 +13,16 @@
 import select
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, Protocol, cast
+from typing import Any, cast
 
 import httptools
 
 from granitepoint.interface import ServerState, Status
 from granitepoint.net.bodies import Body, chunk_of
-from granitepoint.net.limits import MOST_LENGTH
+from granitepoint.net.fields import closes, read_field
+from granitepoint.net.limits import LATE, MOST_LENGTH, ONE_TURN
 from granitepoint.net.listing import Address, Listing
-
-if TYPE_CHECKING:
-    from granitepoint.net.server import Switch
+from granitepoint.net.protocols import Sink, Switch
 
 log = logging.getLogger(__name__)
 
@@ -34,42 +33,9 @@
 MOST_HEAD = 32 * 1024  # bytes of an answer's headers, with all 1xx answers ahead of it
 MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # bytes of an answer as it comes, chunk by chunk
 IDLE_SHARE = 0.9  # of the settings' idle time after which this side closes first
-LATE = 0.01  # s of delay of a timer after which the sockets are looked at first
-ONE_TURN = 0.001  # s; the loop reads its sockets before such a timer
 SETTLE = ONE_TURN  # s after an answer before its connection is used again: what else comes is seen first
 SWEEP = 1.0  # s between looks for idle connections
 OWN_FAULTS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
-HOP_BY_HOP = frozenset(
-    b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer "
-    b"transfer-encoding upgrade content-length".split()
-)
-
-
-def read_field(name: bytes, value: bytes) -> tuple[bytes, bytes]:
-    """A field without the white space behind its value, which is no part of it (RFC 9110, 5.5). The parser
-    reads a coding with a tab behind it as none at all, so there a tab stays, and the message is refused."""
-    name = name.lower()
-    return name, value.strip(b" " if name == b"transfer-encoding" else b" \t")
-
-
-def closes(headers: list[tuple[bytes, bytes]]) -> bool:
-    """Whether Connection says that this message is the last; the parser wants no white space there."""
-    return any(
-        name == b"connection" and b"close" in (option.strip(b" \t").lower() for option in value.split(b","))
-        for name, value in headers
-    )
-
-
-class Sink(Protocol):
-    """Where an answer goes that is passed on as it comes."""
-
-    def feed(self, data: bytes) -> None: ...
-
-    def finish(self) -> None:
-        """It is whole."""
-
-    def broken_off(self) -> None:
-        """It will never be whole."""
 
 
 class Exchange:
--- a/granitepoint/sidecar/inbound.py
+++ b/granitepoint/sidecar/inbound.py
@@ -12,11 +12,12 @@
 import time
 
 from granitepoint.interface import NEVER_RAN, Effect, ServerEntry, Status
+from granitepoint.net.fields import HOP_BY_HOP
 from granitepoint.net.filters import Filter, Headers, Ticket, Turned, ask, taken_by
-from granitepoint.net.limits import UPSTREAM_SHARE
+from granitepoint.net.limits import LATE, ONE_TURN, UPSTREAM_SHARE
 from granitepoint.net.listing import Listed, Listing, address
 from granitepoint.net.server import Page, Reply, Request, Server
-from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, Exchange, Upstreams
+from granitepoint.net.upstream import Exchange, Upstreams
 from granitepoint.sidecar.admission import TAKING, Admission, Heard, State, Verdict
 from granitepoint.sidecar.model import Description, Sidecar
 
--- a/granitepoint/websocket/messages.py
+++ b/granitepoint/websocket/messages.py
@@ -11,7 +11,8 @@
 
 from granitepoint.interface import Effect
 from granitepoint.net.bodies import Body
-from granitepoint.net.server import BadRequest, Request, Source, read_request
+from granitepoint.net.protocols import Source
+from granitepoint.net.server import BadRequest, Request, read_request
 from granitepoint.websocket import envelope
 from granitepoint.websocket.codec import NO_STATUS, Piece
 from granitepoint.websocket.limits import Bucket
