--- a/granitepoint/__init__.py
+++ b/granitepoint/__init__.py
@@ -10,6 +10,7 @@
     Fail,
     Fetch,
     Gone,
+    Instances,
     ListKind,
     Log,
     NewSettings,
@@ -36,7 +37,7 @@
 
 __all__ = [
     "Action", "Arrival", "Balancer", "Cancel", "CloseIdle", "Effect", "Event", "Fail", "Fetch", "Gone",
-    "ListKind", "Log", "NewSettings", "Outcome", "PeerMessage", "Probe", "Probed", "Refuse", "RequestClass",
-    "Send", "ServerEntry", "ServerList", "ServerState", "SetTimer", "Settings", "Status", "StreamStarted",
-    "Tell", "Tenant", "Timer", "Watch",
+    "Instances", "ListKind", "Log", "NewSettings", "Outcome", "PeerMessage", "Probe", "Probed", "Refuse",
+    "RequestClass", "Send", "ServerEntry", "ServerList", "ServerState", "SetTimer", "Settings", "Status",
+    "StreamStarted", "Tell", "Tenant", "Timer", "Watch",
 ]
--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -13,7 +13,7 @@
 
 import uvloop
 
-from granitepoint.assembly import Proxy, Sparse, budgets_of, settle
+from granitepoint.assembly import Proxy, Sparse, budgets_of, fleet_keys, settle
 from granitepoint.net.config import Config, ConfigError, load, reread_discovery
 
 if TYPE_CHECKING:
@@ -75,7 +75,14 @@
         file = None
     else:
         budgets = budgets_of(operator.budgets, "edge") if operator.budgets is not None else None
-        proxy = Proxy(config, operator.membership, budgets, websocket=operator.websocket)
+        proxy = Proxy(
+            config,
+            operator.membership,
+            budgets,
+            websocket=operator.websocket,
+            fleet=operator.fleet,
+            fleet_keys=fleet_keys(operator),
+        )
         file = operator.file
     loop.add_signal_handler(signal.SIGHUP, reload, proxy, file)  # before it is ready, for good
     await proxy.start()
--- a/granitepoint/assembly.py
+++ b/granitepoint/assembly.py
@@ -11,7 +11,7 @@
 import logging
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
 from granitepoint.net.config import Config
@@ -22,13 +22,15 @@
 
 if TYPE_CHECKING:
     from granitepoint.budgets.calls import Budgets
+    from granitepoint.fleet.transport import Fleet
     from granitepoint.interface import RequestClass
     from granitepoint.membership.register import Registrar
     from granitepoint.net.filters import Filter
     from granitepoint.net.sources import Subsystem
     from granitepoint.operations.office import Operations
     from granitepoint.operator import Budgets as BudgetSettings
-    from granitepoint.operator import Membership, Registration, WebSocket
+    from granitepoint.operator import Fleet as FleetSettings
+    from granitepoint.operator import Membership, Operator, Registration, WebSocket
     from granitepoint.websocket.front import Front
 
 log = logging.getLogger("granitepoint")
@@ -66,10 +68,11 @@
         budgets: Budgets | None = None,
         called: str = "",
         websocket: WebSocket | None = None,
+        fleet: FleetSettings | None = None,
+        fleet_keys: Sequence[bytes] = (),
     ) -> None:
         """`called`: the tier's name, where budgets are on and it is known. Raises ConfigError where the
-        list that
-        it is to begin with can't be used."""
+        list that it is to begin with can't be used, or where the fleet can't be met as the settings are."""
         self.config = config
         whole = config
         if websocket is not None:
@@ -95,6 +98,9 @@
             reserved=self.operations.descriptors if self.operations is not None else 0,
             most_body=MOST_LENGTH,
         )  # fmt: skip
+        self.fleet = fleet_of(fleet, config, self.driver, fleet_keys) if fleet is not None else None
+        if self.fleet is not None:
+            self.subsystems.append(self.fleet)
         self.front: Front | None = None
         if websocket is not None:
             self.front = Front(websocket, whole, self.driver, self.server)
@@ -126,6 +132,8 @@
         self.driver.end_by = end_by
         if self.front is not None:
             self.front.drain(end_by)
+        if self.fleet is not None:
+            self.fleet.drain()
 
     async def finish(self) -> None:
         """Each answer from now on is the last on its connection; returns when nothing is owed any more."""
@@ -160,6 +168,31 @@
     return Budgets(settings, mark)
 
 
+def fleet_of(settings: FleetSettings, config: Config, driver: Driver, keys: Sequence[bytes]) -> Fleet | None:
+    """None where the platform's settings allow no talk between proxies: there nothing of it is imported."""
+    if not (config.settings.may_tell or settings.own_network):
+        log.error(
+            "[fleet] is off: the platform's settings (policy_limits.peers) allow no talk between proxies; "
+            "on an installation of its own write own_network = true"
+        )
+        return None
+    from granitepoint.clock import Clock
+    from granitepoint.fleet.transport import Fleet
+
+    # Each change is a line of its own, and their number has a bound of its own.
+    logging.getLogger("granitepoint.fleet").setLevel(logging.INFO)
+    return Fleet(settings, config, driver, Clock(), keys)
+
+
+def fleet_keys(operator: Operator) -> list[bytes]:
+    """The fleet's datagrams are sealed where there is a key file, the budgets'. Raises OperatorError."""
+    if operator.fleet is None or operator.budgets is None:
+        return []
+    from granitepoint.budgets.keys import read_keys
+
+    return list(read_keys(operator.budgets.keys_file).values())
+
+
 def outer_filters(budgets: Budgets | None, called: str, config: Config) -> tuple[Filter, ...]:
     """What acts on a call before the module, in this order."""
     if budgets is None:
--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -279,7 +279,26 @@
     settings: Settings
 
 
-Event = ServerList | Arrival | Outcome | StreamStarted | Gone | Probed | Timer | PeerMessage | NewSettings
+@dataclass(slots=True)
+class Instances:
+    """How many instances stand before the same servers by what is seen of them; until told, it is
+    Settings.balancers. Who tells it bounds it: all instances' shares by it, added up, stay under 1.5."""
+
+    count: int
+
+
+Event = (
+    ServerList
+    | Arrival
+    | Outcome
+    | StreamStarted
+    | Gone
+    | Probed
+    | Timer
+    | PeerMessage
+    | NewSettings
+    | Instances
+)
 
 # -- actions -----------------------------------------------------------------------------------------
 
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -21,6 +21,7 @@
     Event,
     Fail,
     Gone,
+    Instances,
     ListKind,
     NewSettings,
     Outcome,
@@ -440,6 +441,7 @@
 
     def __init__(self, settings: Settings, random: Random) -> None:
         self.settings = settings
+        self.share = 1.0  # of what an instance may do by the settings: less or more where others live
         self.random = random
         self.known: dict[int, Server] = {}
         self.pool: list[Server] = []
@@ -532,7 +534,7 @@
         """A cold server looks idle to every instance at once: each may send no more than its fair share of
         what the server can do by now, so that all together stay under the budget of any window."""
         total = sum(server.hint for server in self.pool)
-        share = COLD_SHARE * self.settings.fall_multiple
+        share = COLD_SHARE * self.settings.fall_multiple * self.share
         # The peak, not the present rate: else few sends allow fewer still, and a fleet in a roll stays cold.
         self.peak_rate = max(self.send_rate, self.peak_rate * (1 - span / PEAK_MEMORY))
         for server in self.pool:
@@ -702,6 +704,8 @@
         self.kinds = {cls.name: Kind(cls, settings.stage, settings.max_attempts) for cls in settings.classes}
         self.admission = Admission(settings.stage, self.random)
         self.servers = Servers(settings, self.random)
+        self.instances = settings.balancers  # before these servers
+        self.told_instances = False
         self.quota_left: dict[str, float] = {}
         self.set_quotas()
         self.queue: list[Call] = []
@@ -745,6 +749,8 @@
                 self.on_stream(event)
             elif type(event) is NewSettings:
                 self.on_settings(event.settings)
+            elif type(event) is Instances:
+                self.on_instances(event.count)
         if self.last_step < 0:
             self.start()
         elif now - self.last_step >= STEP - 1e-9:
@@ -766,7 +772,7 @@
 
     def set_quotas(self) -> None:
         settings = self.settings
-        self.quota = {t.name: t.quota_per_s / settings.balancers for t in settings.tenants}
+        self.quota = {t.name: t.quota_per_s / self.instances for t in settings.tenants}
         self.quota_left = {name: self.quota_left.get(name, quota) for name, quota in self.quota.items()}
 
     @property
@@ -776,9 +782,19 @@
         return [s.id for s in known if s.ejected_until and s.state is ServerState.SERVING]
 
     # events
+    def on_instances(self, count: int) -> None:
+        """Fewer share the servers, so each may take more of what all may; or more, and less."""
+        self.instances, self.told_instances = max(1, count), True
+        self.servers.share = self.settings.balancers / self.instances
+        self.set_quotas()
+        self.admission.set_least(len(self.servers.known), self.instances)
+
     def on_settings(self, settings: Settings) -> None:
         """Calls hold on to their own Kind, so one under way ends by the rules that it came under."""
         self.settings = self.gate.settings = self.servers.settings = settings
+        if not self.told_instances:
+            self.instances = settings.balancers
+        self.servers.share = settings.balancers / self.instances
         self.servers.aim = max(cls.aim for cls in settings.classes)
         old = self.kinds
         self.kinds = {cls.name: Kind(cls, settings.stage, settings.max_attempts) for cls in settings.classes}
@@ -799,7 +815,7 @@
                 self.watch_fails = 0
                 self.told_at, self.doubt_at = self.now, math.inf
             self.servers.take_list(event, self.now)
-            self.admission.set_least(len(self.servers.known), self.settings.balancers)
+            self.admission.set_least(len(self.servers.known), self.instances)
 
     def on_arrival(self, event: Arrival, fresh: list[Call]) -> None:
         if event.call in self.gate.calls or event.call in self.gate.over:
@@ -1129,7 +1145,7 @@
         if not self.settings.may_probe or not self.servers.pool:
             return
         now = self.now
-        rate = max(PROBES_LEAST, PROBES_PER_CALL * self.admission.rate)
+        rate = max(PROBES_LEAST * self.servers.share, PROBES_PER_CALL * self.admission.rate)
         self.probe_tokens = max(self.probe_tokens, min(2.0, self.probe_tokens + rate * span))
         for server in self.servers.known.values():
             due = server.ejected_until and now >= server.ejected_until and not server.probe_out
@@ -1150,7 +1166,7 @@
         if call.asked is None:
             call.asked = []
             servers = self.servers
-            pace = max(PROBES_LEAST, PROBES_PER_CALL * self.admission.rate)
+            pace = max(PROBES_LEAST * servers.share, PROBES_PER_CALL * self.admission.rate)
             if call.attempts or call.deadline - self.now < 3 * ASK_WAIT:
                 return False
             if len(servers.pool) < pace * servers.unit or servers.unit < 2 * ASK_WAIT:
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -33,6 +33,30 @@
     console: Address | None = None  # the second address, for the staff's calls; None: those parts are off
     raw: Mapping[str, Any] = field(default_factory=dict, compare=False)  # the file, to hold a new one against
 
+    @property
+    def peers(self) -> Peers:
+        """Read when it is wanted: a proxy that speaks to no peer does not mind what stands there. Raises
+        ValueError."""
+        listen, named = self.raw.get("peer_listen"), self.raw.get("peers") or []
+        if not isinstance(named, list):
+            raise ValueError("peers is no list")
+        return Peers(address(listen) if listen else None, tuple(address(item) for item in named))
+
+    @property
+    def tier(self) -> str:
+        """The name of its tier."""
+        names = (self.raw.get("settings") or {}).get("stages") or []
+        stage = self.settings.stage
+        return str(names[stage]) if isinstance(names, list) and stage < len(names) else f"tier{stage}"
+
+
+@dataclass(frozen=True, slots=True)
+class Peers:
+    """Where other proxies may be spoken to, as PROTOCOL has it; all empty where the platform names none."""
+
+    listen: Address | None
+    all: tuple[Address, ...]  # one for each proxy of the tier, its own among them
+
 
 def flatten(value: object, path: str = "", into: dict[str, str] | None = None) -> dict[str, str]:
     """The settings object as the simulator's flat path=value pairs, so that both have one reader."""
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -32,6 +32,7 @@
 MODULE_MARGIN = 0.02  # s by which the module's deadline lies before the proxy's own
 LAG_FADE = 0.995  # of the measured loop lag that is kept at each timer
 MOST_PROBES = 32  # at once
+MOST_CALLS = 1000  # at once, as the measure of a load where the settings name none
 MOST_FIGURE = 1e6  # of a report; more is no load, and would outweigh all other reports
 WRITTEN_AT_ONCE = 64 * 1024  # bytes of a body that is joined to its head; a longer one is not copied
 PROBE_TIMEOUT = 0.2  # s; a report that comes later is of no use
@@ -217,6 +218,24 @@
             filter.retuned(settings)
         self._push(api.NewSettings(settings))
 
+    def set_instances(self, count: int) -> None:
+        """So many proxies stand before these servers, itself among them."""
+        self._push(api.Instances(count))
+
+    @property
+    def load(self) -> float:
+        """Calls in flight, of what it may hold."""
+        return len(self.calls) / (self.settings.most_held or MOST_CALLS)
+
+    @property
+    def list_version(self) -> int:
+        """Of the list that is in force, as discovery counts."""
+        return self.discovery.version or 0
+
+    @property
+    def ready(self) -> bool:
+        return self.upstreams.ready
+
     def list_failed(self) -> None:
         self._push(api.ServerList(api.ListKind.FAILED))
 
@@ -432,9 +451,7 @@
         if self.settings.reports == "answer":
             reports = [value for name, value in exchange.headers if name == b"x-load-report"]
             report = read_report(reports[0]) if len(reports) == 1 else None
-        self._push(
-            api.Outcome(call.number, number, server, status, exchange.elapsed, not call.open, report)
-        )
+        self._push(api.Outcome(call.number, number, server, status, exchange.elapsed, not call.open, report))
 
     def _switched(
         self, call: OpenCall, number: int, server: int, exchange: SwitchExchange, connection: Connection
--- /dev/null
+++ b/granitepoint/net/peers.py
@@ -0,0 +1,61 @@
+"""The seam to the other proxies: what parts that need them are handed, and nothing of how it is done.
+
+Datagrams are lost, doubled, late and in no order; what must be reliable or agreed is built above, by the part
+that needs it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One of the fleet, as one view has it."""
+
+    key: bytes
+    name: str
+    tier: str
+    zone: str
+    incarnation: tuple[int, ...]  # greater is later; the first two are the same for one process's time
+    state: str  # alive, suspect, dead or left
+    phase: str  # starting, serving, draining or leaving, by its own word
+    words: Mapping[int, bytes]  # by the port of the part that said it
+
+
+class View(Protocol):
+    @property
+    def me(self) -> bytes:
+        """The key of this member."""
+
+    @property
+    def stamp(self) -> int:
+        """Grows with each change."""
+
+    @property
+    def settled(self) -> bool:
+        """Nothing has changed lately, and all who were heard lately see the same."""
+
+    @property
+    def minority(self) -> bool:
+        """Less than half lives of all that it knew: others may go on without it."""
+
+    def members(self) -> list[Member]: ...
+
+    def watch(self, callback: Callable[[Any], None]) -> None:
+        """Called after each change."""
+
+
+class Channel(Protocol):
+    def send(self, port: int, data: bytes, to: bytes | None = None) -> bool:
+        """To one member, or to all; whether it fits in a datagram and there is somebody."""
+
+    def receive(self, port: int, callback: Callable[[bytes, bytes], None]) -> None:
+        """`callback` gets the sender's key and the data."""
+
+
+class Word(Protocol):
+    def say(self, port: int, data: bytes) -> None:
+        """A few bytes that travel with this member's entry. Raises ValueError where there is no room."""
--- a/granitepoint/operator/__init__.py
+++ b/granitepoint/operator/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from granitepoint.operator.reader import OperatorError, Problem, read_text
-from granitepoint.operator.schema import Budgets, Membership, Operator, Registration, WebSocket, load
+from granitepoint.operator.schema import Budgets, Fleet, Membership, Operator, Registration, WebSocket, load
 
-__all__ = ["Budgets", "Membership", "Operator", "OperatorError", "Problem", "Registration",
+__all__ = ["Budgets", "Fleet", "Membership", "Operator", "OperatorError", "Problem", "Registration",
 "WebSocket", "load", "read_text"]
--- a/granitepoint/operator/codes.py
+++ b/granitepoint/operator/codes.py
@@ -87,6 +87,10 @@
     again: each time the inner one is called with the same key.
 F310 name given twice
     Two files give one name other meanings.
+F311 two fleets of one name
+    Two operators' files name a fleet alike and share no member: if they ever meet, they become one.
+F312 members of one fleet differ
+    Members of one fleet have other times or another network: each would suspect by its own clock.
 """
 
 
--- a/granitepoint/operator/schema.py
+++ b/granitepoint/operator/schema.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import re
 from dataclasses import dataclass
 from typing import Any
@@ -146,6 +147,52 @@
     deflate_ratio: float = key(float, "50.0 (bytes unpacked for each that came)", 50.0, between(1, 1032))
 
 
+def _address(value: str) -> str | None:
+    return address_fault(value) if value else None
+
+
+def _members(value: tuple[str, ...]) -> str | None:
+    if len(set(value)) != len(value):
+        return "names an address twice"
+    return next((fault for fault in map(address_fault, value) if fault), None)
+
+
+def _networks(value: tuple[str, ...]) -> str | None:
+    for network in value:
+        try:
+            ipaddress.IPv4Network(network)
+        except ValueError as fault:
+            return f"must hold IPv4 networks such as 10.1.0.0/16: {fault}"
+    return None
+
+
+def _fleet_name(value: str) -> str | None:
+    if not 1 <= len(value.encode()) <= 64 or not value.isprintable():
+        return "must have 1 to 64 printable characters"
+    return None
+
+
+PRIVATE = ("127.0.0.0/8", "10.0.0.0/8", "172.16.0.0/12", "192.168.0.0/16")  # RFC 1918, RFC 1122
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """[fleet]: a view of the fleet that its members keep themselves."""
+
+    name: str = key(
+        str, '"portal-central" (the same at all its members, and no other fleet\'s)', check=_fleet_name
+    )
+    listen: str = key(str, '"10.0.0.4:7946" (else `peer_listen` of the platform)', "", _address)
+    address: str = key(str, '"10.0.0.4:7946" (where others reach it, if elsewhere)', "", _address)
+    members: tuple[str, ...] = key(tuple, '["10.0.0.4:7946", "10.0.0.5:7946"]', (), _members)
+    networks: tuple[str, ...] = key(tuple, '["10.0.0.0/8"] (where members may be)', PRIVATE, _networks)
+    own_network: bool = key(bool, "true (no platform here whose word on peers counts)", False)
+    period: float = key(float, "1.0", 1.0, between(0.05, 60))
+    suspicion: float = key(float, "3.0 (periods, of a fleet of up to 9)", 3.0, between(0.1, 60))
+    memory: float = key(float, "600.0", 600.0, between(1, 86_400))
+    counts: bool = key(bool, "true (who lives counts in place of the settings' number)", True)
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """The whole file. `file` is where it came from."""
@@ -155,10 +202,12 @@
     registration: Registration | None = None
     budgets: Budgets | None = None
     websocket: WebSocket | None = None
+    fleet: Fleet | None = None
 
 
 TABLES: dict[str, type] = {
-    "membership": Membership, "registration": Registration, "budgets": Budgets, "websocket": WebSocket
+    "membership": Membership, "registration": Registration, "budgets": Budgets, "websocket": WebSocket,
+    "fleet": Fleet,
 }  # fmt: skip
 
 
@@ -179,6 +228,7 @@
     if tables.get("registration") is not None and (membership is not None or "membership" not in raw):
         registration_contradictions(reader, membership, ("membership",), ("registration",))
     websocket_contradictions(reader, tables.get("websocket"), ("websocket",))
+    fleet_contradictions(reader, tables.get("fleet"), ("fleet",))
     if reader.problems:
         raise OperatorError(reader.problems)
     return Operator(file, **tables)
@@ -247,3 +297,46 @@
         reader.wrong((*path, "ping_every"), "S107",
                      "ping_timeout is over ping_every: a silent peer would be awaited past its next ping",
                      f"write ping_every = {table.ping_timeout:g} or more, or less ping_timeout")  # fmt: skip
+
+
+LEAST_SUSPICION = 1.0  # periods: a probe with its helpers takes nearly one
+
+
+def fleet_contradictions(reader: Reader, table: object, path: Path) -> None:
+    """What a table [fleet] at this path holds that can't all be so."""
+    if not isinstance(table, Fleet):
+        return
+    if table.suspicion < LEAST_SUSPICION:
+        reader.wrong((*path, "suspicion"), "S107",
+                     "suspicion is shorter than a probe round: who is slow once is dead before it is asked "
+                     "again",
+                     "write suspicion = 3.0, or at least 1.0")  # fmt: skip
+    if table.memory < 10 * table.suspicion * table.period:
+        reader.wrong((*path, "memory"), "S107",
+                     "memory is shorter than ten suspicions: the dead would be forgotten while some still "
+                     "hold them for alive, and come back",
+                     f"write memory = {10 * table.suspicion * table.period:g} or more")  # fmt: skip
+    own = table.address or table.listen
+    if table.members and not [at for at in table.members if at != own]:
+        reader.wrong((*path, "members"), "S107", "a fleet with one member, itself, has nobody to see",
+                     "name the others, or leave the table out")  # fmt: skip
+    if table.own_network and not (table.listen and table.members):
+        missing = "listen" if not table.listen else "members"
+        reader.wrong((*path, "own_network"), "S107",
+                     f"own_network = true without {missing}: the platform is not asked, and nobody else says "
+                     "it",
+                     'write listen = "HOST:PORT" and members = [...]')  # fmt: skip
+    networks = [ipaddress.IPv4Network(network) for network in table.networks]
+    for at in (table.listen, table.address, *table.members):
+        host = at.rpartition(":")[0]
+        if not at:
+            continue
+        try:
+            number = ipaddress.IPv4Address(host)
+        except ValueError:
+            reader.wrong(path, "S105", f"{host} is no IPv4 address", "write numbers; there is no DNS")
+            continue
+        if not number.is_unspecified and not any(number in network for network in networks):
+            reader.wrong((*path, "networks"), "S107",
+                         f"{host} lies in none of the networks, so its datagrams would be dropped",
+                         f'add "{host}/32", or the network that it is in')  # fmt: skip
--- a/granitepoint/sidecar/checking.py
+++ b/granitepoint/sidecar/checking.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from granitepoint.operator import Operator
+from granitepoint.operator.positions import place_of, positions
 from granitepoint.operator.reader import MOST_TEXT, OperatorError, Problem, read_text
 from granitepoint.operator.schema import TABLES as OPERATORS
 from granitepoint.operator.schema import load as load_operator
@@ -19,6 +21,7 @@
     problems: list[Problem] = []
     read: list[tuple[Layers, Description]] = []
     platforms: list[Platform] = []
+    operators: list[Operator] = []
     for file in files:
         try:
             problems += altered(file)
@@ -29,7 +32,7 @@
                 problems += platforms[-1].problems
                 continue
             if is_operators(file):
-                load_operator(file)
+                operators.append(load_operator(file))
                 continue
             layers, description = load(file, environment)
         except OperatorError as fault:
@@ -44,6 +47,7 @@
         before = len(layers.problems)
         layers.wrong(finding.path, finding.code, finding.text, finding.instead)
         problems += layers.problems[before:]
+    problems += fleets_of(operators)
     for platform in platforms:
         problems += platform.against([description for _, description in read])
     unique = {str(problem): problem for problem in problems}  # an included file's fault is one, not several
@@ -52,6 +56,37 @@
     )
 
 
+def fleets_of(operators: list[Operator]) -> list[Problem]:
+    """What several operators' files say of one fleet, or of two that are named alike."""
+    problems = []
+    first: dict[str, Operator] = {}
+    for operator in operators:
+        mine = operator.fleet
+        if mine is None:
+            continue
+        other = first.setdefault(mine.name, operator)
+        theirs = other.fleet
+        if theirs is None or other is operator:
+            continue
+        here = {*mine.members, mine.address or mine.listen} - {""}
+        there = {*theirs.members, theirs.address or theirs.listen} - {""}
+        if mine.members and theirs.members and not here & there:
+            text = f"the fleet {mine.name} is named in {other.file}, too, and shares no member with this one"
+            problems.append(_at(operator.file, "name", "F311", text, "give each fleet a name of its own"))
+            continue
+        for name in ("period", "suspicion", "memory"):
+            wanted, found = getattr(theirs, name), getattr(mine, name)
+            if wanted != found:
+                text = f"{name} is {found:g} here and {wanted:g} in {other.file}, of the same fleet"
+                problems.append(_at(operator.file, name, "F312", text, f"write {name} = {wanted:g}"))
+    return problems
+
+
+def _at(file: str, key: str, code: str, text: str, instead: str) -> Problem:
+    place = place_of(positions(read_text(file)[0]), ("fleet", key))
+    return Problem(file, place.line, code, text, instead, place.column)
+
+
 def altered(file: str) -> list[Problem]:
     """Whether a file that this tool wrote was changed since. Raises OperatorError where it can't be read."""
     try:
--- /dev/null
+++ b/rigs/fleet/bed.py
@@ -0,0 +1,235 @@
+"""Cores in virtual time: a heap of events, seeded delays, and the network's faults. No sockets, no waiting.
+
+The same seed gives the same run, in another process too. Thousands of members fit, for entries are shared.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+from typing import Any
+
+from granitepoint.fleet.core import Core
+from granitepoint.fleet.entries import Address, Claim, Incarnation, Phase, Record, entry, first_run, key_of
+from granitepoint.fleet.guard import Seals
+from granitepoint.fleet.states import State
+from granitepoint.fleet.table import Change
+from granitepoint.fleet.timing import Timing
+from rigs.fleet.network import Network
+
+WALL = 1_764_633_600.0  # s since 1970 at the start of a run
+MAKE = Callable[..., Core]
+
+
+def address_of(number: int) -> Address:
+    return f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}", 7946
+
+
+@dataclass(slots=True)
+class Member:
+    """One name's process, and those before it."""
+
+    number: int
+    name: str
+    core: Core | None = None
+    stopped: bool = False
+    inbox: list[tuple[Address, bytes]] = field(default_factory=list)  # while it is stopped
+    lives: int = 0
+    clock: float = 0.0  # s by which its reading of the monotonic clock is off
+    wall: float = 0.0  # of the wall clock
+    woken: float = -1.0  # the tick that is set
+
+
+class Bed:
+    def __init__(
+        self,
+        members: int,
+        timing: Timing,
+        seed: int,
+        network: Network | None = None,
+        names: Callable[[int], str] = lambda number: f"p{number}",
+        make: MAKE = Core,
+        zones: int = 3,
+        seals: Seals | None = None,
+    ) -> None:
+        self.timing, self.seed, self.make, self.seals = timing, seed, make, seals
+        self.random = Random(seed)
+        self.network = network or Network(seed)
+        self.now = 0.0
+        self.events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.order = count()
+        self.zones = zones
+        self.members = [Member(number, names(number)) for number in range(members)]
+        self.at: dict[Address, int] = {address_of(number): number for number in range(members)}
+        self.watch: Callable[[Member, Change], None] | None = None
+        self.tell: Callable[[Member, str], None] | None = None
+        self.datagrams = 0
+        self.bytes = 0
+
+    # running
+    def call(self, at: float, what: Callable[..., None], *args: Any) -> None:
+        heapq.heappush(self.events, (max(at, self.now), next(self.order), what, args))
+
+    def run(self, until: float) -> None:
+        while self.events and self.events[0][0] <= until:
+            self.now, _, what, args = heapq.heappop(self.events)
+            what(*args)
+        self.now = until
+
+    def _reading(self, member: Member) -> float:
+        return self.now + member.clock
+
+    def _after(self, member: Member) -> None:
+        """Carries what the core has decided, and sets its next tick."""
+        core = member.core
+        assert core is not None
+        taken = core.take()
+        for address, data in taken.out:
+            self._send(member.number, address, data)
+        if self.watch is not None:
+            for change in taken.changes:
+                self.watch(member, change)
+        if self.tell is not None:
+            for note in taken.notes:
+                self.tell(member, note)
+        due = max(self.now, core.due - member.clock)
+        if member.woken < 0 or due < member.woken - 1e-9:
+            member.woken = due
+            self.call(due, self._wake, member, core, due)
+
+    def _wake(self, member: Member, core: Core, due: float) -> None:
+        if member.core is not core or member.woken != due or member.stopped:
+            return
+        member.woken = -1.0
+        core.tick(self._reading(member))
+        self._after(member)
+
+    def _send(self, sender: int, address: Address, data: bytes) -> None:
+        self.datagrams += 1
+        self.bytes += len(data)
+        receiver = self.at.get(address)
+        if receiver is None:
+            return
+        for wait, sent in self.network.carry(sender, receiver, data, self.now):
+            self.call(self.now + wait, self._arrive, receiver, address_of(sender), sent)
+
+    def _arrive(self, receiver: int, source: Address, data: bytes) -> None:
+        member = self.members[receiver]
+        if member.core is None:
+            return
+        if member.stopped:
+            if len(member.inbox) < 512:  # a socket's buffer
+                member.inbox.append((source, data))
+            return
+        member.core.datagram(self._reading(member), source, data)
+        self._after(member)
+
+    # what happens to members
+    def start(self, number: int, name: str = "") -> None:
+        member = self.members[number]
+        member.lives += 1
+        if name:
+            member.name = name
+        record = Record(member.name, address_of(number), "portal", f"z{number % self.zones}")
+        seeds = [address_of(other) for other in range(len(self.members))]
+        wall = WALL + self.now + member.wall
+        seed = hash_of(self.seed, number, member.lives)
+        member.core = self.make(
+            "fleet", record, seeds, self.timing, seed, self._reading(member), wall, self.seals
+        )
+        member.core.phase = Phase.SERVING
+        member.stopped, member.inbox, member.woken = False, [], -1.0
+        self._after(member)
+
+    def adopt(self) -> None:
+        """All at once, as members that know one another."""
+        entries = {}
+        for member in self.members:
+            zone = f"z{member.number % self.zones}"
+            record = Record(member.name, address_of(member.number), "portal", zone)
+            run = Incarnation(first_run(WALL), member.number % 65535 + 1, 0)
+            item = entry(key_of(member.name), run, Claim.ALIVE, record)
+            entries[item.key] = item
+        order, digest = sorted(entries), 0
+        for item in entries.values():
+            digest ^= item.tag
+        for member in self.members:
+            member.lives += 1
+            own = entries[key_of(member.name)]
+            member.core = self.make(
+                "fleet", own.record, [], self.timing, hash_of(self.seed, member.number, 1), self.now, WALL,
+                self.seals,
+            )  # fmt: skip
+            member.core.adopt(entries, order, digest)
+            self._after(member)
+
+    def kill(self, number: int) -> None:
+        self.members[number].core = None
+
+    def leave(self, number: int) -> None:
+        member = self.members[number]
+        if member.core is not None:
+            member.core.leave(self._reading(member))
+            self._after(member)
+            member.core = None
+
+    def stop(self, number: int) -> None:
+        self.members[number].stopped = True
+
+    def go_on(self, number: int) -> None:
+        member = self.members[number]
+        if member.core is None or not member.stopped:
+            return
+        member.stopped = False
+        member.woken = -1.0
+        core = member.core
+        core.tick(self._reading(member))  # a process that wakes finds its timers due first
+        inbox, member.inbox = member.inbox, []
+        for source, data in inbox:
+            core.datagram(self._reading(member), source, data)
+        self._after(member)
+
+    def turn_clock(self, number: int, monotonic: float = 0.0, wall: float = 0.0) -> None:
+        member = self.members[number]
+        member.clock += monotonic
+        member.wall += wall
+        member.woken = -1.0
+        if member.core is not None and not member.stopped:
+            member.core.tick(self._reading(member))
+            self._after(member)
+
+    # what is seen
+    @property
+    def living(self) -> list[Member]:
+        return [member for member in self.members if member.core is not None]
+
+    def equal(self, among: Iterable[Member] | None = None) -> bool:
+        """Whether all these have the same view, and it is right."""
+        cores = [member.core for member in (self.living if among is None else among)]
+        views = {core.table.digest for core in cores if core is not None}
+        return len(views) <= 1
+
+    def right(self) -> bool:
+        names = {key_of(member.name) for member in self.living}
+        return self.equal() and all(
+            set(member.core.table.entries) == names and not member.core.table.suspicions
+            for member in self.living
+            if member.core is not None
+        )
+
+    def states(self, of: int) -> dict[State, int]:
+        """How many of the living have this member in which state."""
+        found: dict[State, int] = {}
+        for member in self.living:
+            if member.core is not None and member.number != of:
+                state = member.core.table.state(key_of(self.members[of].name))
+                found[state] = found.get(state, 0) + 1
+        return found
+
+
+def hash_of(*parts: int) -> int:
+    """A seed of these; the same in every process."""
+    return Random(",".join(map(str, parts))).getrandbits(62)
--- /dev/null
+++ b/rigs/fleet/relay.py
@@ -0,0 +1,176 @@
+"""The fault relay between real processes: every datagram and every TCP connection between them goes through.
+
+Each member has an address of its own on which it listens (127.77.x.y), and another by which the others know
+it (127.78.x.y): there the relay takes what they send, decides on it by `network.Network`, and hands it on
+from the sender's known address, as a platform's network would. No root, no kernel rules.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, cast
+
+from rigs.fleet.network import Network
+
+HOSTS = 200  # members for each third byte
+BUFFER = 1 << 20  # bytes of datagrams that wait
+NOBODY = -1  # a sender that is no member
+
+
+def host(net: int, number: int) -> str:
+    return f"127.{net}.{number // HOSTS}.{number % HOSTS + 1}"
+
+
+class _Known(asyncio.DatagramProtocol):
+    """The address by which one member is known."""
+
+    def __init__(self, relay: Datagrams, number: int) -> None:
+        self.relay, self.number = relay, number
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        self.relay.came(addr, self.number, data)
+
+    def error_received(self, exc: Exception) -> None:
+        pass  # nobody listens there now: it is lost
+
+
+class Datagrams:
+    def __init__(self, members: int, port: int, network: Network, transcript: Path | None = None) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.members, self.port, self.network = members, port, network
+        self.known = [_Known(self, number) for number in range(members)]
+        self.number_of = {host(77, number): number for number in range(members)}
+        self.carried = self.bytes = 0
+        self.sink = transcript.open("w", encoding="utf-8") if transcript is not None else None
+        self.started = self.loop.time()
+
+    def addresses(self) -> list[str]:
+        return [f"{host(78, number)}:{self.port}" for number in range(self.members)]
+
+    async def start(self) -> None:
+        for number, known in enumerate(self.known):
+            await self.loop.create_datagram_endpoint(
+                lambda known=known: known, local_addr=(host(78, number), self.port)  # type: ignore[misc]
+            )  # fmt: skip
+
+    def stop(self) -> None:
+        for known in self.known:
+            if known.transport is not None:
+                known.transport.close()
+        if self.sink is not None:
+            self.sink.close()
+
+    def came(self, source: tuple[str | Any, int], receiver: int, data: bytes) -> None:
+        sender = self.number_of.get(str(source[0]), NOBODY)
+        if sender == NOBODY or source[1] != self.port:
+            return
+        self.carried += 1
+        self.bytes += len(data)
+        copies = self.network.carry(sender, receiver, data, self.loop.time())
+        if self.sink is not None:
+            line = [round(self.loop.time() - self.started, 4), sender, receiver,
+                    self.network.counts[sender, receiver], len(data),
+                    [[round(wait, 5), sent != data] for wait, sent in copies]]  # fmt: skip
+            self.sink.write(json.dumps(line) + "\n")
+        for wait, sent in copies:
+            if wait > 0:
+                self.loop.call_later(wait, self._hand_on, sender, receiver, sent)
+            else:
+                self._hand_on(sender, receiver, sent)
+
+    def _hand_on(self, sender: int, receiver: int, data: bytes) -> None:
+        transport = self.known[sender].transport
+        if transport is not None and not transport.is_closing():
+            transport.sendto(data, (host(77, receiver), self.port))
+
+    def pour(self, receiver: int, data: bytes) -> None:
+        """Straight at a member's own socket, from the address of one that others know."""
+        transport = self.known[(receiver + 1) % self.members].transport
+        if transport is not None:
+            transport.sendto(data, (host(77, receiver), self.port))
+
+
+class _Side(asyncio.Protocol):
+    def __init__(self, pipe: Pipe, other: _Side | None = None) -> None:
+        self.pipe, self.other = pipe, other
+        self.transport: asyncio.Transport | None = None
+        self.early = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.pipe.sides.add(self)
+        if self.pipe.silent:
+            self.transport.pause_reading()
+        if self.other is None:  # it came in; its other side is made now
+            self.task = self.pipe.loop.create_task(self._reach())
+
+    async def _reach(self) -> None:
+        other = _Side(self.pipe, self)
+        self.other = other
+        try:
+            await self.pipe.loop.create_connection(lambda: other, *self.pipe.to())
+        except OSError:
+            if self.transport is not None:
+                self.transport.abort()
+            return
+        if self.early and other.transport is not None:
+            other.transport.write(self.early)
+        if self.transport is None and other.transport is not None:
+            other.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        if self.other is None or self.other.transport is None:
+            self.early += data
+        else:
+            self.other.transport.write(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.pipe.sides.discard(self)
+        if self.other is not None and self.other.transport is not None:
+            if exc is None:
+                self.other.transport.close()
+            else:
+                self.other.transport.abort()
+
+
+class Pipe:
+    """One address in front of another, for one member's connections to it."""
+
+    def __init__(self, to: Callable[[], tuple[str, int]]) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.to = to
+        self.sides: set[_Side] = set()
+        self.silent = False
+        self.server: asyncio.Server | None = None
+
+    async def start(self, at: str, port: int) -> str:
+        self.server = await self.loop.create_server(lambda: _Side(self), at, port, backlog=256)
+        return f"{at}:{port}"
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        self.reset()
+
+    def reset(self) -> None:
+        for side in list(self.sides):
+            if side.transport is not None:
+                side.transport.abort()
+
+    def be_silent(self, on: bool) -> None:
+        """Connections stay up, and nothing passes; new ones come up to nobody."""
+        self.silent = on
+        for side in list(self.sides):
+            if side.transport is not None and not side.transport.is_closing():
+                if on:
+                    side.transport.pause_reading()
+                else:
+                    side.transport.resume_reading()
--- /dev/null
+++ b/rigs/fleet/script.py
@@ -0,0 +1,307 @@
+"""The script of a run: what goes wrong, when, and for how long. Played in virtual time or on real processes.
+
+    members = 12                     # p0 to p11
+    seconds = 40.0
+    [[fault]]
+    at = 5.0                         # s from the start of the script ...
+    do = "kill"
+    who = ["p3"]
+    [[fault]]
+    when = "p3 is dead"              # ... or an event: NAME is STATE, in anybody's view, or "settled"
+    after = 0.5                      # s behind it
+    do = "partition"
+    groups = ["p0-p5", "p6-p11"]
+    lasts = 10.0
+
+`python -m rigs.fleet schema` prints the JSON Schema; errors say file, line and what to write.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Any, Protocol
+
+from granitepoint.operator.reader import OperatorError, Problem, Reader, between, key
+from rigs.fleet.network import Network, Weather
+
+MOST_FAULTS = 1000
+DEEDS = {
+    "kill": "SIGKILL; `lasts`: starts again after so long",
+    "term": "SIGTERM; `lasts`: starts again after so long",
+    "stop": "SIGSTOP, and SIGCONT after `lasts`",
+    "start": "starts a process that was killed, ended or never started",
+    "restart": "SIGKILL and at once a new process of the same name",
+    "rename": "SIGKILL, and a new process at the same address with the name `name`",
+    "loss": "`share` of the datagrams between `who` and all others is lost",
+    "delay": "`by` s on each datagram of `who`, and up to `share` s of jitter, so that they pass one another",
+    "duplicate": "`share` of the datagrams of `who` comes twice",
+    "corrupt": "`share` of the datagrams of `who` has a bit turned",
+    "cut": "no datagram from `who` reaches `to`",
+    "partition": "`groups` can't reach one another",
+    "clock": "the program's clock reading of `who` jumps by `by` s; `name` = wall or monotonic",
+    "storm": "`share` datagrams a second of garbage and of another fleet's fall on `who`",
+    "reset": "all TCP connections of `who` to its servers are reset",
+    "silence": "nothing passes on TCP between `who` and its servers",
+    "drain": "the list says that the servers `who` (n0, n1, ...) drain; `lasts`: ready again after so long",
+}
+LASTING = frozenset(("loss", "delay", "duplicate", "corrupt", "cut", "partition", "silence", "storm", "stop"))
+WHEN = re.compile(r"settled|([A-Za-z0-9_-]+) is (alive|suspect|dead|left)")
+SPAN = re.compile(r"([A-Za-z_]+)(\d+)-\1(\d+)")
+
+
+def _deed(value: str) -> str | None:
+    return None if value in DEEDS else "must be one of " + ", ".join(DEEDS)
+
+
+def _when(value: str) -> str | None:
+    return None if not value or WHEN.fullmatch(value) else 'must be "settled" or such as "p7 is suspect"'
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """[[fault]]"""
+
+    do: str = key(str, '"kill" (or another of: ' + ", ".join(DEEDS) + ")", check=_deed)
+    at: float = key(float, "5.0", -1.0, between(0, 3600))
+    when: str = key(str, '"p7 is suspect"', "", _when)
+    after: float = key(float, "0.5 (s behind `when`)", 0.0, between(0, 600))
+    who: tuple[str, ...] = key(tuple, '["p3", "p5-p9"] (or ["all"])', ())
+    to: tuple[str, ...] = key(tuple, '["p4"]', ())
+    groups: tuple[str, ...] = key(tuple, '["p0-p5", "p6-p11"]', ())
+    lasts: float = key(float, "10.0", 0.0, between(0, 3600))
+    share: float = key(float, "0.2", 0.0, between(0, 100_000))
+    by: float = key(float, "-3600.0", 0.0, between(-1e9, 1e9))
+    name: str = key(str, '"p4"', "")
+
+
+@dataclass(frozen=True, slots=True)
+class Top:
+    """What stands before the first [[fault]]."""
+
+    members: int = key(int, "12", 12, between(1, 100_000))
+    seconds: float = key(float, "40.0", 40.0, between(0.1, 3600))
+    seed: int = key(int, "1", 1, between(0, 1 << 62))
+
+
+@dataclass(frozen=True, slots=True)
+class Script:
+    top: Top
+    faults: tuple[Fault, ...] = field(default=())
+
+
+def read(text: str, file: str = "script.toml") -> Script:
+    """Raises operator.OperatorError with all problems."""
+    try:
+        raw = tomllib.loads(text)
+    except ValueError as wrong:
+        raise OperatorError([Problem(file, 1, "C002", f"is no TOML: {wrong}", "mend this line")]) from None
+    reader = Reader(file, text)
+    found = raw.pop("fault", [])
+    top = reader.table(Top, raw, ())
+    faults = []
+    if not isinstance(found, list) or len(found) > MOST_FAULTS:
+        reader.wrong(("fault",), "S104", "fault is no list of tables", "write [[fault]] before each")
+        found = []
+    for number, item in enumerate(found):
+        path = ("fault", str(number))
+        fault = reader.table(Fault, item, path)
+        if fault is not None and top is not None:
+            faults.append(fault)
+            _check(reader, path, fault, top.members)
+    if reader.problems or top is None:
+        raise OperatorError(reader.problems)
+    return Script(top, tuple(faults))
+
+
+def _check(reader: Reader, path: tuple[str, ...], fault: Fault, members: int) -> None:
+    if (fault.at >= 0) == bool(fault.when):
+        reader.wrong(path, "S107", "a fault has either `at` or `when`", "write at = 5.0")
+    if fault.do == "partition":
+        if len(fault.groups) < 2:
+            reader.wrong(path, "S103", "a partition has two groups or more", 'write groups = ["p0-p5", "p6"]')
+    elif not fault.who:
+        reader.wrong(path, "S103", f"{fault.do} of whom?", 'write who = ["p3"]')
+    if fault.do == "cut" and not fault.to:
+        reader.wrong(path, "S103", "a cut is from `who` to whom?", 'write to = ["p4"]')
+    if fault.do in LASTING and not fault.lasts:
+        reader.wrong(path, "S103", f"{fault.do} for how long?", "write lasts = 5.0")
+    if fault.do != "drain":
+        for name in ("who", "to", "groups"):
+            for item in getattr(fault, name):
+                try:
+                    numbers(item.split(","), members)
+                except ValueError as wrong:
+                    reader.wrong((*path, name), "S105", f"{item!r}: {wrong}", 'write "p3" or "p5-p9"')
+
+
+def numbers(names: Iterable[str], members: int) -> list[int]:
+    """`p3`, `p5-p9` and `all` as numbers of members. Raises ValueError."""
+    found: list[int] = []
+    for name in names:
+        span = SPAN.fullmatch(name)
+        if name == "all":
+            found += range(members)
+        elif span:
+            found += range(int(span[2]), int(span[3]) + 1)
+        elif re.fullmatch(r"[A-Za-z_]+\d+", name):
+            found.append(int(name.lstrip("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_")))
+        else:
+            raise ValueError("is no member")
+    if any(number >= members for number in found):
+        raise ValueError(f"there are members 0 to {members - 1}")
+    return found
+
+
+class Ground(Protocol):
+    """Where a script is played."""
+
+    network: Network
+    names: Sequence[str]  # of the members, now
+
+    def later(self, wait: float, what: Callable[[], None]) -> None: ...
+
+    def kill(self, number: int) -> None: ...
+
+    def term(self, number: int) -> None: ...
+
+    def start(self, number: int, name: str = "") -> None: ...
+
+    def stop(self, number: int) -> None: ...
+
+    def go_on(self, number: int) -> None: ...
+
+    def turn_clock(self, number: int, monotonic: float = 0.0, wall: float = 0.0) -> None: ...
+
+    def storm(self, number: int, rate: float, lasts: float) -> None: ...
+
+    def reset(self, number: int) -> None: ...
+
+    def silence(self, number: int, on: bool) -> None: ...
+
+    def drain(self, server: str, on: bool) -> None: ...
+
+
+class Player:
+    """Plays a script's faults; who watches the views says what happens in them."""
+
+    def __init__(self, script: Script, ground: Ground, tell: Callable[[str], None] | None = None) -> None:
+        self.script, self.ground = script, ground
+        self.tell = tell or (lambda line: None)
+        self.waiting: list[Fault] = []
+        self.played = 0
+        self.under_way = 0  # faults that last
+
+    def begin(self) -> None:
+        for fault in self.script.faults:
+            if fault.when:
+                self.waiting.append(fault)
+            else:
+                self.ground.later(fault.at, lambda fault=fault: self.play(fault))  # type: ignore[misc]
+
+    def seen(self, event: str) -> None:
+        """`p7 is dead`, in anybody's view, or `settled`."""
+        for fault in [fault for fault in self.waiting if fault.when == event]:
+            self.waiting.remove(fault)
+            self.ground.later(fault.after, lambda fault=fault: self.play(fault))  # type: ignore[misc]
+
+    @property
+    def over(self) -> bool:
+        return not self.under_way and self.played >= len(self.script.faults)
+
+    def play(self, fault: Fault) -> None:
+        self.played += 1
+        ground, members = self.ground, self.script.top.members
+        self.tell(f"{fault.do} {' '.join(fault.who or fault.groups)}")
+        undo: list[Callable[[], None]] = []
+        if fault.do == "drain":
+            for server in fault.who:
+                ground.drain(server, True)
+                undo.append(lambda server=server: ground.drain(server, False))  # type: ignore[misc]
+        elif fault.do == "partition":
+            groups = [frozenset(numbers(group.split(","), members)) for group in fault.groups]
+            ground.network.parts.append(groups)
+            undo.append(lambda: ground.network.parts.remove(groups))
+        elif fault.do == "cut":
+            who, to = numbers(fault.who, members), numbers(fault.to, members)
+            ground.network.cut(who, to)
+            undo.append(lambda: ground.network.cut(who, to, -1))
+        elif fault.do in ("loss", "delay", "duplicate", "corrupt"):
+            undo += self._weather(fault, numbers(fault.who, members))
+        else:
+            for number in numbers(fault.who, members):
+                undo += self._one(fault, number)
+        if fault.lasts:
+            self.under_way += 1
+            ground.later(fault.lasts, lambda: self._end(fault, undo))
+
+    def _end(self, fault: Fault, undo: list[Callable[[], None]]) -> None:
+        self.under_way -= 1
+        self.tell(f"end of {fault.do} {' '.join(fault.who or fault.groups)}")
+        for step in undo:
+            step()
+
+    def _weather(self, fault: Fault, who: list[int]) -> list[Callable[[], None]]:
+        network, members = self.ground.network, self.script.top.members
+        changes: dict[str, Any]
+        if fault.do == "delay":
+            changes = {"delay": fault.by, "jitter": fault.share}
+        else:
+            changes = {fault.do: fault.share}
+        clear = {name: 0.0 for name in changes}
+        if len(who) == members:
+            network.everywhere = replace(network.everywhere, **changes)
+
+            def over() -> None:
+                network.everywhere = replace(network.everywhere, **clear)
+
+            return [over]
+        links = [
+            (one, other)
+            for one in range(members)
+            for other in range(members)
+            if one != other and (one in who or other in who)
+        ]
+        for link in links:
+            network.weather[link] = replace(network.weather.get(link, Weather()), **changes)
+
+        def ended() -> None:
+            for link in links:
+                network.weather[link] = replace(network.weather.get(link, Weather()), **clear)
+
+        return [ended]
+
+    def _one(self, fault: Fault, number: int) -> list[Callable[[], None]]:
+        ground = self.ground
+        if fault.do in ("kill", "term"):
+            (ground.kill if fault.do == "kill" else ground.term)(number)
+            return [lambda: ground.start(number)]
+        if fault.do == "restart":
+            ground.kill(number)
+            ground.start(number)
+        elif fault.do == "start":
+            ground.start(number)
+        elif fault.do == "rename":
+            old = ground.names[number]
+            ground.kill(number)
+            ground.start(number, fault.name)
+            if fault.lasts:
+                return [lambda: ground.kill(number), lambda: ground.start(number, old)]
+        elif fault.do == "stop":
+            ground.stop(number)
+            return [lambda: ground.go_on(number)]
+        elif fault.do == "clock":
+            if fault.name == "monotonic":
+                ground.turn_clock(number, monotonic=fault.by)
+            else:
+                ground.turn_clock(number, wall=fault.by)
+        elif fault.do == "storm":
+            ground.storm(number, fault.share, fault.lasts)
+        elif fault.do == "reset":
+            ground.reset(number)
+        elif fault.do == "silence":
+            ground.silence(number, True)
+            return [lambda: ground.silence(number, False)]
+        return []
--- a/rigs/ledger.py
+++ b/rigs/ledger.py
@@ -119,6 +119,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     told: list[Told] = field(default_factory=list)
     starts: list[Start] = field(default_factory=list)
+    excused: set[str] = field(default_factory=set)  # calls whose proxy was killed or stopped under them
 
     def attempt(self, call: str, server: str, group: str, at: float, **more: Any) -> Attempt:
         """Records one that begins now; `more` are further fields. The backend fills in the rest."""
@@ -167,6 +168,8 @@
             answers[answer.call].append(answer)
         for taken in self.taken:
             mine = answers.pop(taken.call, [])
+            if taken.call in self.excused and len(mine) <= 1:
+                continue
             if any(answer.left for answer in mine):
                 late = [answer for answer in mine if answer.left and answer.at < taken.due - rules.slack]
                 if not late:  # it waited for the whole of its time, and had nothing
--- a/rigs/program.py
+++ b/rigs/program.py
@@ -103,6 +103,43 @@
         return False
 
 
+def configuration(
+    name: str,
+    listen: str,
+    discovery: str,
+    known: list[dict[str, Any]],
+    more: dict[str, Any] | None = None,
+    **changes: Any,
+) -> dict[str, Any]:
+    """The JSON of one proxy; `more`: what it has beside the usual, or in its place."""
+    return {
+        "name": name,
+        "listen": listen,
+        "discovery": discovery,
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"index": 1, "snapshot": True, "endpoints": known},
+        "settings": settings(**changes),
+        **(more or {}),
+    }
+
+
+async def launch(
+    folder: Path, raw: dict[str, Any], operator: str = "", root: Path = ROOT, through: tuple[str, ...] = ()
+) -> asyncio.subprocess.Process:
+    """A process of the program, whose log is `folder`/log, behind what an earlier one wrote there. `through`:
+    a module and its arguments that run the program's."""
+    (folder / "config.json").write_text(json.dumps(raw))
+    command = [sys.executable, "-m", *through, "granitepoint"]
+    if operator:
+        (folder / "operator.toml").write_text(operator.replace("{folder}", str(folder)))
+        command += ["--operator", str(folder / "operator.toml")]
+    environ = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
+    environ |= {"EDGE_CONFIG": str(folder / "config.json"), "PYTHONPATH": str(root)}
+    with (folder / "log").open("ab") as sink:
+        return await asyncio.create_subprocess_exec(*command, cwd=root, env=environ, stderr=sink)
+
+
 @contextlib.asynccontextmanager
 async def proxy(
     name: str,
@@ -121,34 +158,17 @@
     with tempfile.TemporaryDirectory() as text:
         folder = Path(text)
         listen = f"127.0.0.1:{free_port()}"
-        raw = {
-            "name": name,
-            "listen": listen,
-            "discovery": discovery,
-            "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": {"index": 1, "snapshot": True, "endpoints": known},
-            "settings": settings(**changes),
-            **(more or {}),
-        }
-        (folder / "config.json").write_text(json.dumps(raw))
+        raw = configuration(name, listen, discovery, known, more, **changes)
         for file, content in (files or {}).items():
             (folder / file).write_text(content)
-        command = [sys.executable, "-m", "granitepoint"]
-        if operator:
-            (folder / "operator.toml").write_text(operator.replace("{folder}", str(folder)))
-            command += ["--operator", str(folder / "operator.toml")]
-        environ = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
-        environ |= {"EDGE_CONFIG": str(folder / "config.json"), "PYTHONPATH": str(root)}
-        log = folder / "log"
-        with log.open("wb") as sink:
-            process = await asyncio.create_subprocess_exec(*command, cwd=root, env=environ, stderr=sink)
+        process = await launch(folder, raw, operator, root)
         host, _, port = listen.rpartition(":")
-        program = Program(process, (host, int(port)), log)
+        program = Program(process, (host, int(port)), folder / "log")
         try:
             await until(lambda: process.returncode is not None or not ready or program.up(), f"{name} ready")
             if process.returncode is not None:
-                raise RuntimeError(f"{name} ended with {process.returncode}: {log.read_text()[-2000:]}")
+                said = program.log.read_text()[-2000:]
+                raise RuntimeError(f"{name} ended with {process.returncode}: {said}")
             yield program
         finally:
             if process.returncode is None:
--- a/rigs/skew.py
+++ b/rigs/skew.py
@@ -1,12 +1,14 @@
 """Runs a module as if its machine's clocks were others: a wall clock that is off or steps, another
 monotonic one.
 
-    python -m rigs.skew [--wall S] [--step S --at S] [--monotonic S] MODULE [ARGUMENT...]
+    python -m rigs.skew [--wall S] [--step S --at S] [--monotonic S] [--steer FILE] MODULE [ARGUMENT...]
 
 `--wall`: seconds that the wall clock is ahead; `--step`, `--at`: so much more from so many seconds after
 the start;
-`--monotonic`: seconds that the monotonic clock is ahead, as on a machine that was started earlier. The
-machine's
+`--monotonic`: seconds that the monotonic clock is ahead, as on a machine that was started earlier. `--steer`:
+a file of two doubles, s on the wall clock and s on what `granitepoint.clock` reads of the monotonic one,
+which another process may turn at any time.
+The machine's
 clocks stay as they are: only what this process reads through `time` is changed. For MODULE's own clock
 reads, not
 for the kernel's time-outs.
@@ -15,10 +17,25 @@
 from __future__ import annotations
 
 import argparse
+import mmap
 import runpy
+import struct
 import sys
 import time
 
+STEER = struct.Struct("!dd")
+
+
+def steered(file: str) -> None:
+    """From now on the file says how far this process's clocks are off."""
+    from granitepoint.clock import Clock
+
+    with open(file, "rb") as source:
+        said = mmap.mmap(source.fileno(), STEER.size, prot=mmap.PROT_READ)
+    real_wall, real_now = time.time, Clock.now
+    time.time = lambda: real_wall() + STEER.unpack_from(said)[0]
+    Clock.now = lambda self: real_now(self) + STEER.unpack_from(said)[1]  # type: ignore[method-assign]
+
 
 def skew(wall: float, step: float, at: float, monotonic: float) -> None:
     real_wall, real_monotonic = time.time, time.monotonic
@@ -39,10 +56,13 @@
     parser.add_argument("--step", type=float, default=0.0)
     parser.add_argument("--at", type=float, default=0.0)
     parser.add_argument("--monotonic", type=float, default=0.0)
+    parser.add_argument("--steer", metavar="FILE")
     parser.add_argument("module")
     parser.add_argument("arguments", nargs=argparse.REMAINDER)
     wanted = parser.parse_args(argv)
     skew(wanted.wall, wanted.step, wanted.at, wanted.monotonic)
+    if wanted.steer:
+        steered(wanted.steer)
     sys.argv = [wanted.module, *wanted.arguments]
     runpy.run_module(wanted.module, run_name="__main__", alter_sys=True)
 
--- a/tests/sidecar/test_description.py
+++ b/tests/sidecar/test_description.py
@@ -269,7 +269,7 @@
     for code in CODES:
         assert main(["explain", code.lower()]) == 0
         assert capsys.readouterr().out.startswith(f"{code}: ")
-    assert main(["explain", "X999"]) == 2 and len(CODES) == 32
+    assert main(["explain", "X999"]) == 2 and len(CODES) == 34
 
 
 def test_the_operators_page_has_every_code() -> None:
