--- a/granitepoint/fleet/core.py
+++ b/granitepoint/fleet/core.py
@@ -61,6 +61,9 @@
 MOST_RELAYS = 256  # probes in the stead of others that are open at once
 MOST_ROWS = 4  # of a view in one answer
 MOST_PATHS = 20_000  # members of whose ways something is remembered
+ROOM_FOR_TWO = 128  # bytes: an answer, and the datagram that goes to on whose behalf it was asked
+JUST = 0.75  # periods: since the pings that had to be repeated by others
+SAME = 1e-6  # s; a reading that was taken apart and put together again differs by less
 ODD = 3  # probes in a row that only others brought about; fewer are lost datagrams
 MOST_CORRECTIONS = 16  # in a period
 MOST_STRANGERS = 16  # addresses that are named in the log
@@ -189,8 +192,9 @@
         self._handlers = {
             "join": self._join, "probe": self._begin_probe, "again": self._again, "ask": self._ask,
             "verdict": self._verdict, "suspicion": self._suspicion_due, "gossip": self._gossip,
-            "retry": self._retry, "walk": self._walk_late, "relay": self._relay_over,
-            "housekeeping": self._housekeeping, "contest": self._contest, "say": self._say_now,
+            "retry": self._retry, "walk": self._walk_late, "begin walk": self._begin_walk,
+            "relay": self._relay_over, "housekeeping": self._housekeeping, "contest": self._contest,
+            "say": self._say_now,
         }  # fmt: skip
         self._set(0.0, "join")
         self._set(timing.period, "housekeeping")
@@ -250,7 +254,7 @@
     # events
     def tick(self, now: float) -> None:
         self._pass(now)
-        while self.timers and self.timers[0][0] <= self.now:
+        while self.timers and self.timers[0][0] <= self.now + SAME:
             _, _, what, number, key = heapq.heappop(self.timers)
             self._handlers[what](number, key)
 
@@ -379,9 +383,9 @@
         self.counts.sent_bytes += len(data)
         self.out.append((address, data))
 
-    def _pad(self, writer: Writer) -> None:
-        """To the full size, so that the answer may have it."""
-        fill = writer.room - 2
+    def _pad(self, writer: Writer, size: int = wire.MOST_DATAGRAM) -> None:
+        """To this size, so that the answer may have it."""
+        fill = writer.room - 2 - (wire.MOST_DATAGRAM - size)
         if fill >= 0:
             writer.parts += [bytes((FILL, min(255, fill))), bytes(min(255, fill))]
             writer.room -= 2 + fill
@@ -485,7 +489,7 @@
         """One claim, from whoever told it."""
         teller = message.sender
         if said.key == self.key:
-            self._hear_of_self(said, teller)
+            self._hear_of_self(said, message, source)
             return
         accuser = self._name(said.accuser) if said.accuser else ""
         reason = f"does not answer {accuser}" if said.claim is Claim.SUSPECT and accuser else ""
@@ -515,27 +519,25 @@
     def _correct(self, key: Key, address: Address, size: int) -> None:
         """Who told an old claim is told what holds."""
         self.corrections -= 1
-        if self.corrections < 0:
+        if self.corrections < 0 or self.standing is not Standing.MEMBER:
             return
         writer = Writer(size)
         said = sync.about(self.table, key, self.key)
         if writer.said(said) or writer.said(replace(said, record=None)):
             self._send(address, Kind.GOSSIP, writer)
 
-    def _hear_of_self(self, said: Said, teller: Key) -> None:
+    def _hear_of_self(self, said: Said, message: Datagram, source: Address) -> None:
         mine = self.incarnation
         if said.incarnation.process == mine.process:
-            if (
-                said.claim is not Claim.ALIVE
-                and said.incarnation >= mine
-                and self.standing is Standing.MEMBER
-            ):
-                self.identity.renew(said.incarnation)
-                self._claim(f"denies what {self._name(said.accuser or teller)} says")
-                self._unwell(1)
+            if said.claim is Claim.ALIVE or self.standing is not Standing.MEMBER:
+                return
+            if said.incarnation < mine:  # it was denied, and who says it has not heard that
+                self._correct(self.key, source, message.size)
+                return
+            self.identity.renew(said.incarnation)
+            self._claim(f"denies what {self._name(said.accuser or message.sender)} says")
+            self._unwell(1)
             return
-        if said.incarnation < mine:
-            return  # of an earlier process, or of a namesake that has to give way
         over = said.claim is Claim.LEFT or said.sure
         address = said.record.address if said.record is not None else None
         what = self.identity.challenged(said.incarnation, address, over)
@@ -766,7 +768,7 @@
             writer = Writer()
             writer.add(Section.PROBE, number.to_bytes(4, "big"))
             writer.add(Section.TARGET, probe.key + wire.pack_address(held.record.address))
-            writer.add(Section.HEARD, b"\x00")  # room for the answer's
+            self._pad(writer, ROOM_FOR_TWO)
             self._send(self.table.entries[helper].record.address, Kind.ASK, writer)
 
     def _verdict(self, number: int, key: bytes) -> None:
@@ -791,14 +793,19 @@
         origin = message.one(Section.ORIGIN)
         if origin is not None:
             heard = self.heard.get(bytes(origin[:6]))
-            lately = heard is not None and self.now - heard.at < LATELY * self.timing.period
+            lately = heard is not None and self.now - heard.at < JUST * self.timing.period
             writer.add(Section.HEARD, b"\x01" if lately else b"\x00")
+            asker = self.table.entries.get(bytes(origin[:6]))
+            if asker is not None:  # whether it hears this member is seen by a datagram straight to it
+                self._send(asker.record.address, Kind.GOSSIP, Writer())
         state = self.table.state(message.sender)
-        if state not in LIVING and self.standing is Standing.MEMBER:
-            writer.said(said_of(self.table.entries[self.key]))
-        if state not in (State.ALIVE, State.UNKNOWN):  # let it deny it
-            writer.said(sync.about(self.table, message.sender, self.key))
-        self.gossip.fill(writer)
+        if self.standing is Standing.MEMBER:
+            if state not in LIVING:
+                writer.said(said_of(self.table.entries[self.key]))
+            if state not in (State.ALIVE, State.UNKNOWN):  # let it deny it
+                writer.said(sync.about(self.table, message.sender, self.key))
+            if origin is None:
+                self.gossip.fill(writer)
         self._send(source, Kind.ACK, writer)
 
     def _acked(self, message: Datagram, source: Address) -> None:
@@ -824,7 +831,7 @@
         elif target is not None and target[:6] == probe.key:
             del self.probes[number]
             heard = self.heard.get(probe.key)
-            lately = heard is not None and self.now - heard.at < LATELY * self.timing.period
+            lately = heard is not None and self.now - heard.at < JUST * self.timing.period
             hears_us = message.one(Section.HEARD) == b"\x01"
             self._reached(
                 probe.key, WAYS[1 if lately and hears_us else 2 if hears_us else 3 if lately else 4]
@@ -834,7 +841,7 @@
     def _reached(self, key: Key, way: str) -> None:
         old = self.reach.get(key)
         if way:
-            count = old.times + 1 if old is not None else 1
+            count = old.times + 1 if old is not None and old.way == way else 1
             if old is not None or len(self.reach) < MOST_PATHS:
                 self.reach[key] = Reach(way, count)
             if count == ODD:
@@ -857,6 +864,7 @@
         writer = Writer(message.size)
         writer.add(Section.PROBE, mine.to_bytes(4, "big"))
         writer.add(Section.ORIGIN, message.sender)
+        self._pad(writer, ROOM_FOR_TWO)
         self._send(address, Kind.PING, writer)
         self._set(GIVE_UP * self.timing.period, "relay", mine)
 
@@ -907,9 +915,14 @@
             starved = self.now - self.walked_at >= STARVED * period
             if not (quiet or starved):
                 return
-        self.walk = sync.Walk(partner, address, self.now)
+        held = self.table.entries.get(partner)
+        self.walk = sync.Walk(partner, held.record.address if held is not None else address, self.now)
         self.walked_at = self.now
-        self._walk_ask()
+        self._set(0.0, "begin walk")  # not at once: nobody is answered with more than came
+
+    def _begin_walk(self, number: int, key: bytes) -> None:
+        if self.walk is not None and not self.walk.number:
+            self._walk_ask()
 
     def _walk_ask(self) -> None:
         walk = self.walk
@@ -918,7 +931,8 @@
             self.walk = None
             return
         if not self._may_exchange():
-            self.walk = None  # the rest in another period, with whoever differs then
+            self.walk = None  # the rest in the next period, with whoever differs then
+            self.walked_at = float("-inf")
             return
         walk.asked = walk.open[-1]
         walk.number = self._question()
--- a/granitepoint/fleet/identity.py
+++ b/granitepoint/fleet/identity.py
@@ -45,10 +45,13 @@
         self.standing = Standing.LEFT
 
     def challenged(self, said: Incarnation, address: Address | None, over: bool) -> str:
-        """A higher incarnation of this name, of another process: `outrank` it, `contest` it, give way to it
+        """An incarnation of this name, of another process: `outrank` it, `contest` it, give way to it
         (`conflict`), or nothing ("") while that is found out. `over`: it left, or is dead to who says it."""
         if self.standing in (Standing.CONFLICT, Standing.LEFT):
             return ""
+        older = said < self.incarnation
+        if older and (self.standing is Standing.MEMBER or over or address == self.record.address):
+            return ""  # it is outranked as it is
         if over or address == self.record.address:
             return self._outrank(said)
         if said.life in self.outranked and said.run > self.outranked[said.life]:
@@ -71,7 +74,8 @@
         self.outranked[said.life] = said.run
         if len(self.outranked) > MOST_RIVALS:
             del self.outranked[next(iter(self.outranked))]
-        self.incarnation = Incarnation(min(MOST_RUN, said.run + 1), self.incarnation.life, 0)
+        if said > self.incarnation:
+            self.incarnation = Incarnation(min(MOST_RUN, said.run + 1), self.incarnation.life, 0)
         if self.rival is not None and self.rival <= self.incarnation:
             self._end_contest()
         return "outrank"
--- a/rigs/fleet/network.py
+++ b/rigs/fleet/network.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -31,7 +31,7 @@
 Link = tuple[int, int]
 
 
-@dataclass(slots=True)
+@dataclass
 class Network:
     seed: int
     usual: tuple[float, float] = USUAL
@@ -41,6 +41,7 @@
     parts: list[list[frozenset[int]]] = field(default_factory=list)  # groups that can't reach one another
     counts: dict[Link, int] = field(default_factory=dict)
     lost: int = 0
+    seen: Callable[[bytes], None] | None = None  # is shown each datagram
 
     def cut(self, senders: Iterable[int], receivers: Iterable[int], by: int = 1) -> None:
         """-1 mends it."""
@@ -61,6 +62,8 @@
 
     def carry(self, sender: int, receiver: int, data: bytes, now: float) -> list[tuple[float, bytes]]:
         """The copies of it that arrive, each after so long; none: it is lost."""
+        if self.seen is not None:
+            self.seen(data)
         link = sender, receiver
         number = self.counts[link] = self.counts.get(link, 0) + 1
         if not self.open(sender, receiver):
