--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,615 @@
+"""The view of the fleet, at scale and under faults.
+
+    python -m benchmarks.fleet [--short] [--seed N] [--only PART ...]
+
+Parts: `real` (processes behind the fault relay, with calls; the four rules audited), `scale` (the same cores
+in virtual time), `seeds` (random schedules with an oracle), `against` (plain SWIM, and heartbeats to all),
+`model` (the table of states, exhaustively, with planted faults), `fuzz`, `cost` (CPU of a call, on and off).
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import math
+import resource
+import sys
+import time
+from collections.abc import Callable
+from random import Random
+from statistics import median
+
+from benchmarks.per_call import Drive, cpu
+from benchmarks.proof import Proof, run
+from granitepoint.fleet.core import Core
+from granitepoint.fleet.entries import Key
+from granitepoint.fleet.guard import Seals
+from granitepoint.fleet.states import LIVING, State
+from granitepoint.fleet.table import Change
+from granitepoint.fleet.timing import Timing
+from rigs.fleet import model
+from rigs.fleet.bed import Bed, Member, address_of
+from rigs.fleet.network import Weather
+from rigs.fleet.script import DEEDS, Fault, Player, Script, Top
+from rigs.fleet.world import Seen, Setup, world
+from rigs.kit import until
+
+PARTS = ("real", "scale", "seeds", "against", "model", "fuzz", "cost")
+SETTLING = 10.0  # periods within which all views of the living are equal after the last fault
+MEDIAN_BEYOND, WORST_BEYOND = 3.0, 6.0  # periods from a crash to its being known, beyond its suspicion
+FLAT = 1.5  # bytes a member and period at the largest size, against the smallest
+PERIOD = 0.5  # s, on real processes
+
+
+# -- real processes ----------------------------------------------------------------------------------
+
+
+def rounds(members: int, count: int, seed: int) -> list[list[Fault]]:
+    """Rounds of faults that overlap; between two of them the fleet settles."""
+    random = Random(f"rounds {seed}")
+    names = [f"p{number}" for number in range(members)]
+    found = []
+    for turn in range(count):
+        some = random.sample(names, 6)
+        half = [name for name in names if random.random() < 0.5] or names[:1]
+        rest = [name for name in names if name not in half] or names[-1:]
+        lossy = Fault(do="loss", at=0.0, who=("all",), share=random.uniform(0.05, 0.2), lasts=4.0)
+        faults = [
+            Fault(do="kill", at=random.uniform(0, 1), who=(some[0],), lasts=random.uniform(5, 7)),
+            Fault(do="stop", at=random.uniform(0, 1), who=(some[1],), lasts=random.uniform(0.3, 1.2)),
+            Fault(do="restart", at=random.uniform(1, 3), who=(some[2],)),
+            random.choice([
+                lossy,
+                Fault(do="delay", at=0.5, who=("all",), by=0.02, share=0.05, lasts=4.0),
+                Fault(do="duplicate", at=0.5, who=("all",), share=0.3, lasts=4.0),
+                Fault(do="corrupt", at=0.5, who=("all",), share=0.1, lasts=4.0),
+            ]),
+            random.choice([
+                Fault(do="partition", at=1.0, groups=(",".join(half), ",".join(rest)), lasts=5.0),
+                Fault(do="cut", at=1.0, who=(some[3],), to=(some[4],), lasts=5.0),
+                Fault(do="cut", at=1.0, who=(some[3],), to=tuple(half), lasts=5.0),
+                Fault(do="storm", at=1.0, who=(some[3],), share=1000, lasts=3.0),
+            ]),
+            random.choice([
+                Fault(do="term", at=2.0, who=(some[5],), lasts=4.0),
+                Fault(do="clock", at=1.0, who=(some[5],), by=-3600.0),
+                Fault(do="reset", at=1.0, who=(some[5],)),
+                Fault(do="drain", at=1.0, who=("n1",), lasts=3.0),
+            ]),
+        ]  # fmt: skip
+        found.append(faults if turn else faults[:3])
+    return found
+
+
+def late_by(changes: list[Seen], at: float) -> list[float]:
+    """Periods from a crash to its being known to the last, beyond the suspicion of who declared it first."""
+    known = [change.at for change in changes if change.after == "dead"]
+    suspected = [change.at for change in changes if change.after == "suspect"]
+    if not known or not suspected:
+        return []
+    return [(max(known) - at - (min(known) - min(suspected))) / PERIOD]
+
+
+async def real(proof: Proof, seed: int) -> None:
+    members, count = (12, 1) if proof.short else (40, 12)
+    setup = Setup(members=members, nodos=4 if proof.short else 8, rate=1.0, period=PERIOD, seed=seed)
+    beyond: list[float] = []
+    settled: list[float] = []
+    played = cuts = 0
+    false = []
+    begun = time.monotonic()
+    async with world(setup) as w:
+        joined = await w.observer.settle(60, True)
+        proof.figure("real_members", members, "processes")
+        proof.figure("real_join", joined / PERIOD, "periods from their being up to equal views")
+        for faults in rounds(members, count, seed):
+            mark = len(w.observer.changes)
+            begins = time.monotonic()
+            killed = {name: begins + f.at for f in faults if f.do == "kill" for name in f.who}
+            script = Script(Top(members=members), tuple(faults))
+            player = Player(script, w)
+            player.begin()
+            await until(lambda player=player: player.over, "the faults", 60)  # type: ignore[misc]
+            await until(lambda: not w.starting, "restarts", 60)
+            played += len(faults)
+            try:
+                took = await w.observer.settle(3 * SETTLING * PERIOD)
+            except TimeoutError:
+                proof.claim(False, f"views were not equal {3 * SETTLING:.0f} periods after a last fault")
+                continue
+            settled.append(took / PERIOD)
+            parted = any(fault.do in ("partition", "cut") for fault in faults)
+            cuts += parted
+            w.observer.read_logs()
+            fresh = w.observer.changes[mark:]
+            if not parted:
+                for name, at in killed.items():
+                    mine = [change for change in fresh if change.name == name and change.at > at]
+                    beyond += late_by(mine, at)
+                false += [d for d in w.observer.false_deaths() if d in fresh]
+        # Crashes with nothing else about them.
+        for number in Random(seed).sample(range(members), 2 if proof.short else 8):
+            mark, at = len(w.observer.changes), time.monotonic()
+            name = w.seats[number].name
+            w.kill(number)
+            await w.observer.settle(60)
+            w.observer.read_logs()
+            fresh = [c for c in w.observer.changes[mark:] if c.name == name]
+            knew = sum(change.after == "dead" for change in fresh)
+            beyond += late_by(fresh, at)
+            proof.claim(knew == len(w.living), f"{knew} of {len(w.living)} knew of {name}'s crash")
+            w.start(number)
+            await until(lambda: not w.starting, "restart", 60)
+            settled.append(await w.observer.settle(60) / PERIOD)
+            played += 2
+        await w.quiet()
+        await asyncio.sleep(0.1)
+        w.observer.read_logs()
+        raised = [line for lines in w.observer.lines.values() for line in lines if "Traceback" in line]
+        broken = w.audit()
+        codes = sum((callers.codes for callers in w.callers), start=type(w.callers[0].codes)())
+        served = codes[200] / max(1, sum(codes.values()))
+        dead_at_end = [
+            seat.name for seat in w.living
+            for other in w.living
+            if (page := w.observer.pages.get(other.name)) and page[1].living != len(w.living)
+        ]  # fmt: skip
+        revived = w.observer.resurrections()
+        proof.figure("real_span", time.monotonic() - begun, "s")
+        proof.figure("real_faults", played, "faults")
+        proof.figure("real_datagrams", w.relay.carried, "through the relay")
+        proof.figure("real_calls", sum(codes.values()), f"calls, {served:.3f} served")
+    proof.figure("real_settled", median(settled), "periods after the last fault, median")
+    proof.figure("real_settled_worst", max(settled), "periods")
+    proof.figure("real_crash_known", median(beyond), "periods beyond its suspicion, median")
+    proof.figure("real_crash_known_worst", max(beyond), "periods")
+    proof.figure("real_rounds_with_cuts", cuts, "in which both sides rightly buried the other")
+    proof.claim(max(settled) <= SETTLING, f"views equal only after {max(settled):.1f} periods")
+    proof.claim(median(beyond) <= MEDIAN_BEYOND, f"a crash was known {median(beyond):.1f} periods late")
+    proof.claim(max(beyond) <= WORST_BEYOND, f"a crash was known {max(beyond):.1f} periods late at worst")
+    proof.claim(not false, f"{len(false)} false deaths: {false[:2]}")
+    proof.claim(not dead_at_end, f"living members missing at the end: {dead_at_end[:3]}")
+    proof.claim(not revived, f"{len(revived)} dead incarnations came back")
+    proof.claim(not broken, f"rules broken: {broken[:2]}")
+    proof.claim(not raised, f"exceptions in logs: {raised[:2]}")
+    proof.claim(served > 0.8, f"only {served:.3f} of the calls were served")
+
+
+# -- virtual time ------------------------------------------------------------------------------------
+
+
+def crashed(bed: Bed, number: int, patience: float = 60.0) -> tuple[float, float]:
+    """Periods from a crash to its being known to all, and from its first suspicion to the first verdict."""
+    known: dict[str, float] = {}
+    suspected: list[float] = []
+    name = bed.members[number].name
+
+    def watch(member: Member, change: Change) -> None:
+        if change.entry.name == name and change.after is State.DEAD:
+            known.setdefault(member.name, bed.now)
+        elif change.entry.name == name and change.after is State.SUSPECT:
+            suspected.append(bed.now)
+
+    bed.watch = watch
+    at = bed.now
+    bed.kill(number)
+    living = len(bed.living)
+    while len(known) < living and bed.now < at + patience:
+        bed.run(bed.now + 0.1)
+    bed.watch = None
+    if len(known) < living:
+        return math.inf, 0.0
+    return max(known.values()) - at, min(known.values()) - min(suspected)
+
+
+def scale(proof: Proof, seed: int) -> None:
+    sizes = (37, 200) if proof.short else (37, 200, 1000, 10_000)
+    bytes_at: dict[int, float] = {}
+    known_at: dict[int, float] = {}
+    for size in sizes:
+        gc.collect()
+        before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        bed = Bed(size, Timing(period=1.0), seed)
+        bed.adopt()
+        began, sent, count = bed.now, bed.bytes, bed.datagrams
+        known, suspicion = crashed(bed, 1)
+        bed.run(began + 30.0)  # one crash each 30 periods
+        periods = bed.now - began
+        bytes_at[size] = (bed.bytes - sent) / size / periods
+        known_at[size] = known - suspicion
+        used = (resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before) / 1024 / size
+        sent_each = (bed.datagrams - count) / size / periods
+        proof.figure(f"scale_{size}_datagrams", sent_each, "a member and period")
+        proof.figure(f"scale_{size}_bytes", bytes_at[size], "a member and period")
+        proof.figure(f"scale_{size}_known", known, "periods from a crash to all")
+        proof.figure(f"scale_{size}_beyond", known_at[size], "periods of these beyond its suspicion")
+        proof.figure(f"scale_{size}_memory", used * 1024, "kB a member")
+        proof.claim(bed.right(), f"views of {size} members were not equal after a crash")
+        del bed
+    ratio = bytes_at[sizes[-1]] / bytes_at[sizes[0]]
+    proof.figure("scale_ratio", ratio, f"bytes at {sizes[-1]} members against {sizes[0]}")
+    proof.claim(ratio <= FLAT, f"bytes grow {ratio:.2f} times")
+    slope = (known_at[sizes[-1]] - known_at[sizes[0]]) / math.log10(sizes[-1] / sizes[0])
+    fit = known_at[sizes[0]] - slope * math.log10(sizes[0])
+    proof.figure("scale_fit", f"{fit:.2f} + {slope:.2f} log10 N", "periods beyond the suspicion")
+
+
+def schedule(seed: int, members: int) -> Script:
+    """A random one of up to eight faults."""
+    random = Random(f"schedule {seed}")
+    names = [f"p{number}" for number in range(members)]
+    faults = []
+    for _ in range(random.randint(1, 8)):
+        deed = random.choice([d for d in DEEDS if d not in ("reset", "silence", "drain", "storm", "rename")])
+        who = tuple(random.sample(names, random.randint(1, max(1, members // 4))))
+        cut = random.randint(1, members - 1)
+        mixed = random.sample(names, members)
+        faults.append(
+            Fault(
+                do=deed, at=random.uniform(0, 15), who=("all",) if random.random() < 0.3 and deed in (
+                    "loss", "delay", "duplicate", "corrupt") else who,
+                to=tuple(random.sample(names, random.randint(1, members // 2))),
+                groups=(",".join(mixed[:cut]), ",".join(mixed[cut:])),
+                lasts=random.uniform(0.5, 12), share=random.uniform(0.02, 0.2),
+                by=random.uniform(0.005, 0.1) if deed == "delay" else random.choice([-3600.0, 3600.0, -5.0]),
+                name=random.choice(["wall", "monotonic"]),
+            )
+        )  # fmt: skip
+    return Script(Top(members=members), tuple(faults))
+
+
+class Oracle:
+    """What must never be seen in a run of the bed, and how a script is played there."""
+
+    def __init__(self, bed: Bed, script: Script) -> None:
+        self.bed, self.script = bed, script
+        self.buried: dict[tuple[str, Key], set[object]] = {}
+        self.wrong: list[str] = []
+        self.last = 0.0  # when a fault last began or ended
+        bed.watch = self.watch
+        self.network, self.names = bed.network, [member.name for member in bed.members]
+        self.excuse = any(f.do in ("partition", "cut", "stop", "clock") for f in script.faults)
+
+    def watch(self, member: Member, change: Change) -> None:
+        view = f"{member.name}.{member.lives}"  # a new process begins with none
+        dead = self.buried.setdefault((view, change.entry.key), set())
+        if change.after is State.DEAD:
+            dead.add(change.entry.incarnation)
+            subject = next((m for m in self.bed.members if m.name == change.entry.name), None)
+            alive = subject is not None and subject.core is not None and not subject.stopped
+            mine = subject.core.incarnation if subject is not None and subject.core is not None else None
+            same = mine is not None and mine.process == change.entry.incarnation.process
+            if alive and same and not self.excuse:
+                self.wrong.append(f"{member.name} buried {change.entry.name}, which lives, without a cause")
+        elif change.after in LIVING and change.entry.incarnation in dead:
+            who = f"{change.entry.name} {change.entry.incarnation}"
+            self.wrong.append(f"{who} came back in {member.name}'s view")
+
+    def later(self, wait: float, what: Callable[[], None]) -> None:
+        def now() -> None:
+            self.last = self.bed.now
+            what()
+
+        self.bed.call(self.bed.now + wait, now)
+
+    def kill(self, number: int) -> None:
+        self.bed.kill(number)
+
+    def term(self, number: int) -> None:
+        self.bed.leave(number)
+
+    def start(self, number: int, name: str = "") -> None:
+        if self.bed.members[number].core is None:
+            self.bed.start(number, name)
+
+    def stop(self, number: int) -> None:
+        self.bed.stop(number)
+
+    def go_on(self, number: int) -> None:
+        self.bed.go_on(number)
+
+    def turn_clock(self, number: int, monotonic: float = 0.0, wall: float = 0.0) -> None:
+        self.bed.turn_clock(number, monotonic, wall)
+
+    def storm(self, number: int, rate: float, lasts: float) -> None: ...
+
+    def reset(self, number: int) -> None: ...
+
+    def silence(self, number: int, on: bool) -> None: ...
+
+    def drain(self, server: str, on: bool) -> None: ...
+
+
+def judged(seed: int) -> tuple[str, float]:
+    """What is wrong with a run by this seed ("": nothing), and the periods that it took to settle."""
+    members = 5 + seed % 12
+    bed = Bed(members, Timing(period=1.0), seed)
+    for number in range(members):
+        bed.start(number)
+    bed.run(8.0)
+    script = schedule(seed, members)
+    oracle = Oracle(bed, script)
+    player = Player(script, oracle)
+    player.begin()
+    while not player.over:
+        bed.run(bed.now + 0.5)
+        if bed.now > 120:
+            return "the script never ended", 0.0
+    for member in bed.members:  # who was stopped for good by two faults that crossed
+        bed.go_on(member.number)
+    begun = bed.now
+    while not bed.right() and bed.now < begun + 60:
+        bed.run(bed.now + 0.25)
+    took = bed.now - begun
+    if not bed.right():
+        return "views are not equal after 60 periods", took
+    return "; ".join(oracle.wrong[:2]), took
+
+
+def seeds(proof: Proof, seed: int) -> None:
+    count = 40 if proof.short else 1000
+    wrong: list[str] = []
+    took = []
+    for number in range(count):
+        what, span = judged(seed * 100_000 + number)
+        took.append(span)
+        if what:
+            wrong.append(f"seed {seed * 100_000 + number}: {what}")
+    took.sort()
+    late = sum(span > SETTLING for span in took)
+    proof.figure("seeds", count, "random schedules")
+    proof.figure("seeds_settled", took[len(took) // 2], "periods after the last fault, median")
+    proof.figure("seeds_settled_worst", took[-1], "periods")
+    proof.figure("seeds_late", late, f"of them took over {SETTLING:.0f} periods")
+    proof.claim(not wrong, f"{len(wrong)} broken: {wrong[:3]}")
+    proof.claim(not late, f"{late} of {count} took over {SETTLING:.0f} periods, {took[-1]:.1f} at worst")
+
+
+# -- against baselines -------------------------------------------------------------------------------
+
+
+class Plain(Core):
+    """SWIM without Lifeguard's parts: no health of its own, no confirmations, no word to the suspect first,
+    no last probe. Its suspicion lasts as long as ours at its shortest."""
+
+    def _unwell(self, by: int) -> None:
+        self.health = 0
+
+    def _ping(self, number: int) -> None:
+        probe = self.probes[number]
+        suspected = self.table.suspicions.pop(probe.key, None)
+        super()._ping(number)
+        if suspected is not None:
+            self.table.suspicions[probe.key] = suspected
+
+    def _time_suspicion(self, key: Key) -> None:
+        suspicion = self.table.suspicions.get(key)
+        if suspicion is not None and suspicion.turn == 1:
+            suspicion.due = suspicion.began + self.timing.shortest(len(self.table))
+            self._set(suspicion.due - self.now, "suspicion", -1, key)
+        elif suspicion is not None:
+            suspicion.turn = 1
+
+    def _suspicion_due(self, turn: int, key: bytes) -> None:
+        suspicion = self.table.suspicions.get(key)
+        if suspicion is not None:
+            suspicion.heard = float("-inf")
+            suspicion.turn = 1
+        super()._suspicion_due(-1, key)
+
+
+class Heartbeats:
+    """Each tells all others each period that it lives; who says nothing for three is dead."""
+
+    SILENT = 3.0  # periods
+    SIZE = 60  # bytes of a heartbeat: name, incarnation, phase, checksum
+
+    def __init__(self, members: int, seed: int, slow: dict[int, list[tuple[float, float]]]) -> None:
+        self.random = Random(seed)
+        self.members, self.slow = members, slow
+        self.false = self.bytes = 0
+
+    def run(self, periods: int) -> None:
+        heard = [[0.0] * self.members for _ in range(self.members)]
+        dead: set[tuple[int, int]] = set()
+        for period in range(1, periods + 1):
+            for sender in range(self.members):
+                if self._still(sender, period):
+                    continue
+                for receiver in range(self.members):
+                    if receiver != sender:
+                        self.bytes += self.SIZE
+                        heard[receiver][sender] = period
+                        dead.discard((receiver, sender))
+            for receiver in range(self.members):
+                if self._still(receiver, period):
+                    continue
+                for sender in range(self.members):
+                    silent = period - heard[receiver][sender]
+                    if sender != receiver and silent > self.SILENT and (receiver, sender) not in dead:
+                        dead.add((receiver, sender))
+                        self.false += 1
+
+    def _still(self, member: int, at: float) -> bool:
+        return any(begun <= at < ended for begun, ended in self.slow.get(member, ()))
+
+
+Spells = dict[int, list[tuple[float, float]]]  # by member, from and until
+
+
+def slow_spells(members: int, share: float, periods: float, seed: int) -> Spells:
+    """A slow process: most of the time it stands still, in pieces, as one that gets little of its core."""
+    random = Random(f"slow {seed}")
+    found: Spells = {}
+    for member in random.sample(range(members), max(1, int(members * share))):
+        at, spells = random.uniform(0, 2), []
+        while at < periods:
+            lasts = random.uniform(0.3, 3.6)
+            spells.append((at, at + lasts))
+            at += lasts + random.uniform(0.05, 0.6)
+        found[member] = spells
+    return found
+
+
+def suffers(make: Callable[..., Core], members: int, periods: float, seed: int) -> tuple[int, int, float]:
+    """False deaths of healthy members, of slow ones, and bytes a member and period."""
+    bed = Bed(members, Timing(period=1.0), seed, make=make)
+    bed.adopt()
+    slow = slow_spells(members, 0.05, periods, seed)
+    for member, spells in slow.items():
+        for begun, ended in spells:
+            bed.call(begun, bed.stop, member)
+            bed.call(ended, bed.go_on, member)
+    healthy = ill = 0
+    names = {bed.members[member].name for member in slow}
+
+    def watch(member: Member, change: Change) -> None:
+        nonlocal healthy, ill
+        if change.after is State.DEAD:
+            ill += change.entry.name in names
+            healthy += change.entry.name not in names
+
+    bed.watch = watch
+    bed.run(periods)
+    return healthy, ill, bed.bytes / members / periods
+
+
+def against(proof: Proof, seed: int) -> None:
+    members, periods = (40, 40.0) if proof.short else (100, 120.0)
+    ours = suffers(Core, members, periods, seed)
+    plain = suffers(Plain, members, periods, seed)
+    beats = Heartbeats(members, seed, slow_spells(members, 0.05, periods, seed))
+    beats.run(int(periods))
+    beating = beats.bytes / members / periods
+    proof.figure("against_members", members, f"members, one of twenty slow, {periods:.0f} periods")
+    proof.figure("against_healthy", f"{ours[0]} ours, {plain[0]} plain SWIM",
+                 "views in which a healthy member was dead")  # fmt: skip
+    proof.figure("against_slow", f"{ours[1]} ours, {plain[1]} plain SWIM, {beats.false} heartbeats",
+                 "views in which a slow member was dead")  # fmt: skip
+    proof.figure("against_bytes", f"{ours[2]:.0f} ours, {plain[2]:.0f} plain SWIM, {beating:.0f} heartbeats",
+                 "bytes a member and period")  # fmt: skip
+    proof.claim(ours[0] == 0, f"{ours[0]} healthy members were declared dead")
+    proof.claim(ours[0] + ours[1] < plain[0] + plain[1], "plain SWIM has no more false deaths than ours")
+    proof.claim(ours[2] < beating, "heartbeats to all cost no more than ours")
+
+
+# -- the table, datagrams, cost ----------------------------------------------------------------------
+
+
+def checked(proof: Proof) -> None:
+    model.MOST_MESSAGES = 1 if proof.short else 2
+    begun = time.monotonic()
+    try:
+        proof.figure("model_states", model.explore(), "states, exhaustively")
+    except model.Broken as fault:
+        proof.claim(False, f"the table: {fault}")
+    proof.figure("model_span", time.monotonic() - begun, "s")
+    missed = []
+    for name, rules in model.MUTATIONS.items():
+        try:
+            model.explore(rules)
+            missed.append(name)
+        except model.Broken:
+            continue
+    proof.figure("model_planted", len(model.MUTATIONS), f"faults planted, {len(missed)} not found")
+    proof.claim(not missed, f"planted faults that were not found: {missed}")
+
+
+def fuzz(proof: Proof, seed: int) -> None:
+    count = 5_000 if proof.short else 100_000
+    random, seals = Random(seed), Seals()
+    bed = Bed(8, Timing(), seed)
+    kept: list[bytes] = []
+    bed.network.seen = lambda data: kept.append(data) if len(kept) < 5000 else None
+    for number in range(8):
+        bed.start(number)
+    bed.run(2.0)
+    bed.network.everywhere = Weather(loss=0.3)
+    bed.run(12.0)
+    core = bed.members[0].core
+    assert core is not None
+    longer = raised = answered = 0
+    middle = 0
+    for number in range(count):
+        data = bytearray(random.choice(kept) if number % 4 else random.randbytes(random.randint(0, 300)))
+        for _ in range(random.randint(0, 8)):
+            if data:
+                data[random.randrange(len(data))] = random.randrange(256)
+        if random.random() < 0.1:
+            data = data[: random.randint(0, len(data))]
+        sent = seals.seal(bytes(data[:-8])) if number % 4 else bytes(data)
+        core.take()
+        try:
+            core.datagram(bed.now + number * 1e-4, address_of(1 + number % 7), sent)
+        except Exception as fault:
+            raised += 1
+            print(f"fuzz {number}: {fault!r}")
+        out = core.take().out
+        answered += bool(out)
+        longer += any(len(answer) > len(sent) for _, answer in out)
+        if number == count // 2:
+            middle = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    grown = (resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - middle) / 1024
+    proof.figure("fuzz", count, f"datagrams, {answered} answered")
+    proof.figure("fuzz_memory", grown, "MB more in the second half")
+    proof.claim(not raised, f"{raised} exceptions")
+    proof.claim(not longer, f"{longer} answers were longer than their questions")
+    proof.claim(grown < 8, f"memory grew by {grown:.1f} MB")
+
+
+async def cost(proof: Proof, seed: int) -> None:
+    """CPU of one proxy of a fleet of 12, for the same calls, with the view on and off, in turns."""
+    calls, turns = (1500, 2) if proof.short else (4000, 5)
+    spent: dict[bool, list[float]] = {True: [], False: []}
+    worlds = {}
+    on = world(Setup(members=6, nodos=4, rate=0.0, period=1.0, seed=seed))
+    off = world(Setup(members=6, nodos=4, rate=0.0, period=1.0, seed=seed, view=False))
+    async with on as with_view, off as without:
+        worlds = {True: with_view, False: without}
+        for turn in range(turns):
+            for view in (True, False) if turn % 2 else (False, True):
+                program = worlds[view].seats[0].program
+                assert program is not None
+                before = cpu(program.process.pid)
+                await Drive(f"{seed}-{turn}-{view}-", calls).run(program.address)
+                spent[view].append((cpu(program.process.pid) - before) / calls * 1e6)
+        idle = {}
+        for view in (True, False):
+            program = worlds[view].seats[0].program
+            assert program is not None
+            before = cpu(program.process.pid)
+            await asyncio.sleep(4.0)
+            idle[view] = (cpu(program.process.pid) - before) / 4.0 * 1e6
+    proof.figure("cost_on", median(spent[True]), "us a call")
+    proof.figure("cost_off", median(spent[False]), "us a call")
+    proof.figure("cost_ratio", median(spent[True]) / median(spent[False]), "on against off")
+    proof.figure("cost_idle", idle[True] - idle[False], "us of CPU a second for the view alone, period 1 s")
+    ratio = median(spent[True]) / median(spent[False])
+    proof.claim(ratio < 1.25, f"a call costs {ratio:.2f} times as much with the view on")
+
+
+async def measure(proof: Proof, wanted: argparse.Namespace) -> None:
+    parts = wanted.only or PARTS
+    if "model" in parts:
+        checked(proof)
+    if "fuzz" in parts:
+        fuzz(proof, proof.seed)
+    if "against" in parts:
+        against(proof, proof.seed)
+    if "seeds" in parts:
+        seeds(proof, proof.seed)
+    if "real" in parts:
+        await real(proof, proof.seed)
+    if "cost" in parts:
+        await cost(proof, proof.seed)
+    if "scale" in parts:
+        scale(proof, proof.seed)
+
+
+def more(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--only", nargs="+", choices=PARTS, help="these parts alone")
+
+
+if __name__ == "__main__":
+    sys.exit(run("fleet", measure, more=more))
--- /dev/null
+++ b/rigs/fleet/newer.py
@@ -0,0 +1,39 @@
+"""Runs a module as the next version of the program would speak: version 2 at each datagram's head, two bytes
+more in its header, and a section that nobody knows yet.
+
+    python -m rigs.fleet.newer MODULE [ARGUMENT...]
+"""
+
+from __future__ import annotations
+
+import runpy
+import sys
+from typing import Any
+
+from granitepoint.fleet import wire
+
+UNKNOWN = bytes((199, 3)) + b"n+1"
+
+
+def speak() -> None:
+    """From now on this process writes so."""
+    write = wire.write
+
+    def newer(*arguments: Any) -> bytes:
+        data = write(*arguments)
+        end = wire.HEADER.size + data[6]
+        more = UNKNOWN if len(data) + 2 + len(UNKNOWN) + wire.TAG_BYTES <= wire.MOST_DATAGRAM else b""
+        grown = bytes((2,)) + data[1:6] + bytes((data[6] + 2,)) + data[7:end] + b"\0\0" + data[end:] + more
+        return grown if len(grown) + wire.TAG_BYTES <= wire.MOST_DATAGRAM else b"\x02" + data[1:]
+
+    wire.write = newer  # type: ignore[assignment]
+
+
+def main(argv: list[str]) -> None:
+    speak()
+    sys.argv = argv
+    runpy.run_module(argv[0], run_name="__main__", alter_sys=True)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/rigs/fleet/script.py
+++ b/rigs/fleet/script.py
@@ -159,7 +159,10 @@
     """Where a script is played."""
 
     network: Network
-    names: Sequence[str]  # of the members, now
+
+    @property
+    def names(self) -> Sequence[str]:
+        """Of the members, now."""
 
     def later(self, wait: float, what: Callable[[], None]) -> None: ...
 
--- a/rigs/fleet/world.py
+++ b/rigs/fleet/world.py
@@ -54,7 +54,8 @@
     start: bool = True  # all at once; else the script starts them
     transcript: Path | None = None
     root: Path = ROOT
-    joins: int = 0  # so many addresses each is told; 0: all
+    newer: frozenset[int] = frozenset()  # members of the next version
+    strangers: frozenset[int] = frozenset()  # members of another fleet, with these addresses by mistake
 
 
 @dataclass(slots=True)
@@ -177,12 +178,13 @@
             balancers=self.setup.members, me=number, zone="abc"[number % 3], policy_limits=limits,
         )  # fmt: skip
 
-    def _operator(self) -> str:
+    def _operator(self, seat: Seat) -> str:
         setup = self.setup
+        fleet = setup.fleet + (" (another)" if seat.number in setup.strangers else "")
         if not setup.view:
             return ""
         text = (
-            f'[fleet]\nname = "{setup.fleet}"\nperiod = {setup.period}\nsuspicion = {setup.suspicion}\n'
+            f'[fleet]\nname = "{fleet}"\nperiod = {setup.period}\nsuspicion = {setup.suspicion}\n'
             f"counts = {'true' if setup.counts else 'false'}\n"
         )
         if setup.keys:
@@ -196,9 +198,11 @@
                 keys = seat.folder / "keys"
                 keys.write_text("k1 " + "0123456789abcdef" * 4 + "\n")
                 keys.chmod(0o600)
-            through = ("rigs.skew", "--steer", str(seat.folder / "clock"))
+            through: tuple[str, ...] = ("rigs.skew", "--steer", str(seat.folder / "clock"))
+            if seat.number in self.setup.newer:
+                through += ("rigs.fleet.newer",)
             process = await launch(
-                seat.folder, self._config(seat), self._operator(), self.setup.root, through
+                seat.folder, self._config(seat), self._operator(seat), self.setup.root, through
             )
             seat.process = process
             address = (host(77, seat.number), self.http)
@@ -495,8 +499,13 @@
     def resurrections(self) -> list[Seen]:
         """Changes that bring an incarnation back that the same view had buried."""
         buried: dict[tuple[str, str], set[str]] = {}
+        stamps: dict[str, int] = {}
         found = []
         for change in self.changes:
+            if change.stamp < stamps.get(change.by, 0):  # a new process, with a view of its own
+                for pair in [pair for pair in buried if pair[0] == change.by]:
+                    del buried[pair]
+            stamps[change.by] = change.stamp
             dead = buried.setdefault((change.by, change.name), set())
             if change.after == "dead":
                 dead.add(change.incarnation)
