fleet: a timer of a denied suspicion ended a later one; the core in layers

A partition that flaps each second made a view bury a living member 0.1 s after it began to suspect it: timers were told apart by a count that began anew with each suspicion, so that of an earlier one ended it (Table._time).

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -369,11 +369,19 @@
 # -- against baselines -------------------------------------------------------------------------------
 
 
+class OneLength(Timing):
+    """A suspicion lasts as long as ours at its shortest, whoever else shares it."""
+
+    def suspect_for(self, living: int, confirmations: int) -> float:
+        return self.shortest(living)
+
+
 class Plain(Core):
     """SWIM without Lifeguard's parts: no health of its own, no confirmations, no word to the suspect first,
-    no last probe. Its suspicion lasts as long as ours at its shortest."""
+    no last probe."""
 
     def _unwell(self, by: int) -> None:
+        self.table.timing = OneLength(self.timing.period, self.timing.suspicion, self.timing.memory)
         self.health = 0
 
     def _ping(self, number: int) -> None:
@@ -383,20 +391,14 @@
         if suspected is not None:
             self.table.suspicions[probe.key] = suspected
 
-    def _time_suspicion(self, key: Key) -> None:
-        suspicion = self.table.suspicions.get(key)
-        if suspicion is not None and suspicion.turn == 1:
-            suspicion.due = suspicion.began + self.timing.shortest(len(self.table))
-            self._set(suspicion.due - self.now, "suspicion", -1, key)
-        elif suspicion is not None:
-            suspicion.turn = 1
-
     def _suspicion_due(self, turn: int, key: bytes) -> None:
         suspicion = self.table.suspicions.get(key)
         if suspicion is not None:
             suspicion.heard = float("-inf")
-            suspicion.turn = 1
-        super()._suspicion_due(-1, key)
+            if turn > 0 and turn == suspicion.turn:
+                self._set(max(0.0, suspicion.due - self.now), "suspicion", -turn, key)
+                return
+        super()._suspicion_due(turn, key)
 
 
 class Heartbeats:
--- /dev/null
+++ b/granitepoint/fleet/joining.py
@@ -0,0 +1,206 @@
+"""How a member comes to its name and to the others, and how it looks for those that it has lost. Pure."""
+
+from __future__ import annotations
+
+from granitepoint.fleet import sync
+from granitepoint.fleet.base import MOST_STRANGERS
+from granitepoint.fleet.entries import (
+    Address,
+    Claim,
+    entry,
+    shown,
+)
+from granitepoint.fleet.identity import Standing
+from granitepoint.fleet.probing import Probing
+from granitepoint.fleet.states import State
+from granitepoint.fleet.timing import (
+    ALONE_AFTER,
+    FANOUT,
+    JOIN_TO,
+    RETRY_EVERY,
+)
+from granitepoint.fleet.wire import Datagram, Kind, Said, Section, Writer, said_of
+
+
+class Joining(Probing):
+    # what it says of itself
+    def _claim(self, reason: str) -> None:
+        """Its entry as it is now, into its own view and on to all."""
+        known = self.table.entries.get(self.key)
+        mine = entry(self.key, self.incarnation, Claim.ALIVE, self.record, self.phase, self.word)
+        self.table.own(self.now, mine, reason)
+        new = known is None or known.incarnation.process != mine.incarnation.process
+        self.said_at = self.now
+        self._pass_on(said_of(mine, record=new))
+
+    def _say_now(self, number: int, key: bytes) -> None:
+        known = self.table.entries.get(self.key)
+        if self.standing is not Standing.MEMBER or known is None:
+            return  # it is said with the first claim
+        if (known.phase, known.word) != (self.phase, self.word):
+            self.identity.renew(self.incarnation)
+            self._claim(f"is {self.phase.name.lower()}")
+
+    def _become_member(self) -> None:
+        self.identity.standing = Standing.MEMBER
+        self._claim("joins")
+        self._begin()
+
+    def _begin(self) -> None:
+        """Its rounds, which go on from now."""
+        if not self.probing:
+            self.probing = True
+            half = 0.5 * self.timing.period
+            self._set(self.random.uniform(0, half), "probe", 0)
+            self._set(self.random.uniform(0, half) + half, "probe", 1)
+        self._go_on_asking()
+
+    def _go_on_asking(self) -> None:
+        if not self.retrying:
+            self.retrying = True
+            self._set(self.random.uniform(0.5, 1) * RETRY_EVERY * self.timing.period, "retry")
+
+    def _hear_of_self(self, said: Said, message: Datagram, source: Address) -> None:
+        mine = self.incarnation
+        if said.incarnation.process == mine.process:
+            if said.claim is Claim.ALIVE or self.standing is not Standing.MEMBER:
+                return
+            if said.incarnation < mine:  # it was denied, and who says it has not heard that
+                self._correct(self.key, source, message.size)
+                return
+            self.identity.renew(said.incarnation)
+            self._claim(f"denies what {self._name(said.accuser or message.sender)} says")
+            self._unwell(1)
+            return
+        over = said.claim is Claim.LEFT or said.sure
+        address = said.record.address if said.record is not None else None
+        what = self.identity.challenged(said.incarnation, address, over)
+        if what == "outrank":
+            if self.standing is Standing.MEMBER:
+                self._claim("comes after a process of its name")
+        elif what == "contest":
+            self._set(0.0, "contest", 0)
+        elif what == "conflict":
+            self._conflict(address)
+
+    # joining
+    def _join(self, number: int, key: bytes) -> None:
+        """Asks who is there; goes on as a member once somebody has answered, or nobody does."""
+        if self.standing is Standing.CONTEST:
+            self._set(self.timing.period, "join")
+            return
+        if self.standing is not Standing.JOINING:
+            return
+        if self.welcomed or not self.seeds or self.joins >= ALONE_AFTER:
+            if not self.welcomed and self.seeds:
+                self.notes.append("nobody answers: goes on alone, and goes on asking")
+            self._become_member()
+            return
+        self.joins += 1
+        for address in self.random.sample(self.seeds, min(JOIN_TO, len(self.seeds))):
+            self._knock(address)
+        self._set(self.timing.period * self.random.uniform(0.75, 1.25), "join")
+
+    def _knock(self, address: Address) -> None:
+        writer = Writer()
+        writer.add(Section.NAME, self.record.name.encode())
+        self._pad(writer)
+        self._send(address, Kind.JOIN, writer)
+
+    def _welcome(self, message: Datagram, source: Address) -> None:
+        """Who asks is told who holds its name, who this is, and some who live. It is no member by that."""
+        writer = Writer(message.size)
+        if self.table.held(message.sender) is not None:
+            said = sync.about(self.table, message.sender, self.key)
+            held = self.table.held(message.sender)
+            assert held is not None
+            writer.said(Said(said.key, said.incarnation, said.claim, said.phase, said.word, said.accuser,
+                             said.sure, held.record))  # fmt: skip
+        if self.standing in (Standing.JOINING, Standing.MEMBER):
+            mine = entry(self.key, self.incarnation, Claim.ALIVE, self.record, self.phase, self.word)
+            writer.said(said_of(mine))
+        for key in self._draw(FANOUT, (message.sender,)):
+            writer.said(sync.about(self.table, key, self.key))
+        self._send(source, Kind.WELCOME, writer)
+
+    def _retry(self, number: int, key: bytes) -> None:
+        """Who was dead may only have been cut off, and at an address that nobody was heard at there may be
+        somebody by now: one is tried at a time."""
+        self._set(RETRY_EVERY * self.timing.period * self.random.uniform(0.9, 1.1), "retry")
+        if self.standing is Standing.CONFLICT:
+            self.identity.reconsider()
+            self.joins, self.welcomed = 0, False
+            self._set(0.0, "join")
+            return
+        if not self.retries:
+            used = {held.record.address for held in self.table.entries.values()}
+            dead = [g.entry.record.address for g in self.table.gone.values() if g.state is State.DEAD]
+            left = {g.entry.record.address for g in self.table.gone.values() if g.state is State.LEFT}
+            unheard = [address for address in self.seeds if address not in left]
+            self.retries = [a for a in dict.fromkeys([*dead, *unheard]) if a not in used]
+            self.random.shuffle(self.retries)
+        if self.retries and self.standing is Standing.MEMBER:
+            address = self.retries.pop()
+            dead_there = [
+                gone.entry.key
+                for gone in self.table.gone.values()
+                if gone.state is State.DEAD and gone.entry.record.address == address
+            ]
+            writer = Writer()
+            writer.add(Section.PROBE, self._question().to_bytes(4, "big"))
+            for dead_key in dead_there[:1]:
+                writer.said(sync.about(self.table, dead_key, self.key))
+            writer.said(said_of(self.table.entries[self.key]))
+            self._pad(writer)
+            self._send(address, Kind.PING, writer)
+
+    # namesakes
+    def _namesake(self, kind: Kind, message: Datagram, source: Address) -> None:
+        """Another process with this name. Who holds the name says so to who wants it, and both are told."""
+        if kind is Kind.ACK:
+            if self.identity.answered(message.incarnation):
+                self._conflict(source)
+        elif kind is Kind.PING and message.one(Section.NAME) is not None:
+            if self.standing is Standing.MEMBER:
+                if source not in self.claimants and len(self.claimants) < MOST_STRANGERS:
+                    self.claimants.add(source)
+                    self.notes.append(
+                        f"a process at {shown(source)} wants the name {self.record.name}, which is "
+                        "this one's; give one of them another name"
+                    )
+                writer = Writer(message.size)
+                writer.add(Section.PROBE, (message.probe() or 0).to_bytes(4, "big"))
+                self._send(source, Kind.ACK, writer)
+        elif kind is Kind.JOIN:
+            # A successor, or who takes the name by mistake: it is to know that the name is held.
+            self._welcome(message, source)
+
+    def _contest(self, number: int, key: bytes) -> None:
+        """The holder of the name is asked whether it lives; where it does not answer, the name is free."""
+        if self.identity.rival is None:
+            return
+        least = self.timing.shortest(len(self.table))
+        rounds = max(2, int(least / self.timing.period * 2))
+        if number >= rounds:
+            self.identity.unanswered()
+            self.notes.append(f"the holder of the name {self.record.name} does not answer: it is ours")
+            if self.standing is Standing.MEMBER:
+                self._claim("comes after a process of its name")
+            return
+        writer = Writer()
+        writer.add(Section.PROBE, self._question().to_bytes(4, "big"))
+        writer.add(Section.NAME, self.record.name.encode())
+        self._send(self.identity.rival_address, Kind.PING, writer)
+        self._set(self.timing.period / 2, "contest", number + 1)
+
+    def _conflict(self, address: Address | None) -> None:
+        """The name is another's: this process says nothing more as a member."""
+        if self.standing is Standing.CONFLICT:
+            return
+        self.identity.yielded()
+        self._go_on_asking()
+        at = shown(address) if address is not None else "another address"
+        text = f"the name {self.record.name} is held by a living process at {at}; give this one another name"
+        if self.identity.complained != at:
+            self.identity.complained = at
+            self.notes.append(text)
--- a/granitepoint/fleet/pages.py
+++ b/granitepoint/fleet/pages.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from granitepoint.fleet import wire
-from granitepoint.fleet.core import ANY_FLEET, FILL, WAYS
+from granitepoint.fleet.base import ANY_FLEET, FILL, WAYS
 from granitepoint.fleet.entries import Incarnation, Phase, key_of, shown
 from granitepoint.fleet.guard import Seals
 from granitepoint.fleet.states import State
--- a/granitepoint/fleet/table.py
+++ b/granitepoint/fleet/table.py
@@ -26,7 +26,7 @@
     due: float
     accusers: set[Key] = field(default_factory=set)
     sure: bool = False
-    turn: int = 0  # of its timer; an earlier one is void
+    turn: int = 0  # of its timer, no two alike in a view; an earlier one is void
     heard: float = float("-inf")  # when it was heard since, by itself or through others
 
 
@@ -60,6 +60,7 @@
         self.suspicions: dict[Key, Suspicion] = {}
         self.digest = 0
         self.stamp = 0
+        self.turns = 0  # of suspicions' timers
         self.changed_at = float("-inf")
         self.changes: list[Change] = []
         self.refused = 0  # for want of room, or a key that two names share
@@ -141,7 +142,12 @@
         living = len(self.entries)
         count = CONFIRMATIONS if suspicion.sure else max(0, len(suspicion.accusers) - 1)
         suspicion.due = suspicion.began + self.timing.suspect_for(living, count)
-        suspicion.turn += 1
+        self.turn(suspicion)
+
+    def turn(self, suspicion: Suspicion) -> None:
+        """Timers that were set for it before are void."""
+        self.turns += 1
+        suspicion.turn = self.turns
 
     def bury(self, now: float, key: Key, reason: str, teller: Key) -> None:
         """Its suspicion has run out."""
--- a/granitepoint/fleet/wire.py
+++ b/granitepoint/fleet/wire.py
@@ -271,10 +271,11 @@
 class Writer:
     """One datagram in the making; a section that does not fit is left out, and the call says so."""
 
-    __slots__ = ("parts", "room")
+    __slots__ = ("most", "parts", "room")
 
     def __init__(self, most: int = MOST_DATAGRAM) -> None:
         self.parts: list[bytes] = []
+        self.most = most
         self.room = most - FIXED
 
     def add(self, section: Section, value: bytes) -> bool:
--- a/tests/fleet/test_bed.py
+++ b/tests/fleet/test_bed.py
@@ -305,3 +305,16 @@
     until(bed, bed.right, 10)
     bed.run(bed.now + 20)
     assert bed.right() and all(core(member).settled() for member in bed.living)
+
+
+def test_the_timer_of_a_suspicion_that_was_denied_ends_no_later_one() -> None:
+    """A partition that flaps: each suspicion is denied, and the next begins before the last one's timer."""
+    bed = grown(9)
+    seen = watch(bed)
+    groups = [frozenset(range(5)), frozenset(range(5, 9))]
+    for turn in range(12):
+        bed.call(bed.now + 4.0 * turn, bed.network.parts.append, groups)
+        bed.call(bed.now + 4.0 * turn + 2.0, bed.network.parts.remove, groups)
+    bed.run(bed.now + 60.0)
+    assert [change for _, change in seen if change.after is State.SUSPECT]
+    assert not [change for _, change in seen if change.after is State.DEAD]
