--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -13,10 +13,12 @@
 import asyncio
 import gc
 import math
+import multiprocessing
 import resource
 import sys
 import time
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
 from random import Random
 from statistics import median
 
@@ -40,6 +42,7 @@
 MEDIAN_BEYOND, WORST_BEYOND = 3.0, 6.0  # periods from a crash to its being known, beyond its suspicion
 FLAT = 1.5  # bytes a member and period at the largest size, against the smallest
 PERIOD = 0.5  # s, on real processes
+WORKERS = 4  # processes that play schedules
 
 
 # -- real processes ----------------------------------------------------------------------------------
@@ -351,11 +354,13 @@
     count = 40 if proof.short else 1000
     wrong: list[str] = []
     took = []
-    for number in range(count):
-        what, span = judged(seed * 100_000 + number)
+    numbers = [seed * 100_000 + number for number in range(count)]
+    with ProcessPoolExecutor(WORKERS, multiprocessing.get_context("spawn")) as pool:
+        judgements = list(pool.map(judged, numbers, chunksize=10))
+    for number, (what, span) in zip(numbers, judgements, strict=True):
         took.append(span)
         if what:
-            wrong.append(f"seed {seed * 100_000 + number}: {what}")
+            wrong.append(f"seed {number}: {what}")
     took.sort()
     late = sum(span > SETTLING for span in took)
     proof.figure("seeds", count, "random schedules")
--- /dev/null
+++ b/tests/fleet/test_transport.py
@@ -0,0 +1,160 @@
+"""The fleet in a proxy: where it is off, numbers as addresses, what it drops, what it says, SIGHUP."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from granitepoint.assembly import fleet_of
+from granitepoint.clock import Clock
+from granitepoint.fleet import transport
+from granitepoint.fleet.entries import key_of
+from granitepoint.fleet.identity import Standing
+from granitepoint.fleet.transport import Fleet, numbered, pack_words, unpack_words
+from granitepoint.net.config import Config, ConfigError, read_config
+from granitepoint.operator import Fleet as Settings
+from granitepoint.operator import OperatorError
+from granitepoint.sidecar.checking import check
+from rigs.kit import until
+from rigs.program import free_port, settings
+
+PEERS: dict[str, Any] = {
+    "peer_listen": "127.0.0.1:0", "peers": ["127.9.0.1:7946", "127.9.0.2:7946", "127.9.0.3:7946"]
+}  # fmt: skip
+
+
+class Driver:
+    """transport.Proxied."""
+
+    load, list_version, ready = 0.25, 41, True
+
+    def __init__(self) -> None:
+        self.counts: list[int] = []
+
+    def set_instances(self, count: int) -> None:
+        self.counts.append(count)
+
+
+def config(allowed: bool, me: int = 0, name: str = "n0", **more: Any) -> Config:
+    wanted = settings(balancers=3, me=me)
+    wanted["policy_limits"]["peers"] = allowed
+    raw = {"name": name, "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": wanted, **more}
+    return read_config(raw, {})
+
+
+def test_where_the_platform_allows_no_peers_it_is_off_and_says_so(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        driver: Any = Driver()
+        assert fleet_of(Settings("portal"), config(False, **PEERS), driver, ()) is None
+        assert "the platform's settings (policy_limits.peers) allow no talk" in caplog.text
+        assert fleet_of(Settings("portal"), config(True, **PEERS), driver, ()) is not None
+
+    asyncio.run(test())
+
+
+def test_members_call_one_another_by_number_and_each_sees_them_where_its_own_peers_are() -> None:
+    """Two proxies whose lists name the same proxies at other addresses."""
+
+    async def test() -> None:
+        ports = [free_port(), free_port()]
+        made = []
+        for me in range(2):
+            # Each knows the other at another loopback address than it listens at.
+            seen = [f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[1]}", f"127.0.0.1:{free_port()}"]
+            where: dict[str, Any] = {"peer_listen": seen[me], "peers": seen}
+            fleet = Fleet(
+                Settings("portal", period=0.1), config(True, me, f"n{me}", **where), Driver(), Clock()
+            )
+            assert fleet.core.record.address == numbered(me)
+            fleet.start()
+            made.append(fleet)
+        one, other = made
+        heard: list[tuple[bytes, bytes]] = []
+        other.receive(7, lambda sender, data: heard.append((sender, data)))
+        await until(lambda: one.settled and other.settled and len(one.members()) == 2, "settled")
+        assert {member.name for member in one.members()} == {"n0", "n1"}
+        one.say(9, b"word")
+        await until(lambda: any(m.words == {9: b"word"} for m in other.members()), "the word")
+        assert one.send(7, b"hello", other.me) and not one.send(7, bytes(250))
+        await until(lambda: heard == [(key_of("n0"), b"hello")], "the datagram")
+        with pytest.raises(ValueError, match="24 bytes"):
+            one.say(8, bytes(24))
+        changes: list[Any] = []
+        other.watch(changes.append)
+        one.stop()
+        await until(lambda: changes and changes[-1].after.value == "left", "its leave")
+        assert one.core.standing is Standing.LEFT
+        other.stop()
+
+    asyncio.run(test())
+
+
+def test_floods_and_strangers_are_dropped_unread(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        monkeypatch.setattr(transport, "MOST_PER_SOURCE", 10)
+        fleet = Fleet(Settings("portal"), config(True, **PEERS), Driver(), Clock())
+        for _ in range(20):
+            fleet.datagram_received(bytes(60), ("127.9.0.2", 7946))
+        fleet.datagram_received(bytes(60), ("127.9.0.2", 7947))
+        fleet.datagram_received(bytes(257), ("127.9.0.3", 7946))
+        fleet.datagram_received(bytes(60), ("10.0.0.1", 7946))
+        refused = fleet.core.counts.refused
+        assert refused["too many in a second from one address"] == 11
+        assert refused["from an address that is no member's"] == 1 and refused["malformed"] == 1
+        assert not fleet.core.take().out
+
+    asyncio.run(test())
+
+
+def test_times_may_change_while_it_runs_and_places_may_not(tmp_path: Path) -> None:
+    async def test() -> None:
+        fleet = Fleet(Settings("portal"), config(True, **PEERS), Driver(), Clock())
+        file = tmp_path / "operator.toml"
+        file.write_text('[fleet]\nname = "portal"\nperiod = 2.0\n')
+        fleet.reread(str(file))
+        assert fleet.core.timing.period == 2.0
+        for text, what in (('[fleet]\nname = "other"\n', "name of"), ("", "is gone")):
+            file.write_text(text)
+            with pytest.raises(OperatorError, match=what):
+                fleet.reread(str(file))
+        assert fleet.core.timing.period == 2.0
+
+    asyncio.run(test())
+
+
+def test_names_that_no_datagram_has_room_for_are_refused_before_any_socket() -> None:
+    async def test() -> None:
+        with pytest.raises(ConfigError, match="names of up to 32 bytes"):
+            Fleet(Settings("portal"), config(True, name="n" * 33, **PEERS), Driver(), Clock())
+        with pytest.raises(ConfigError, match="names no peer_listen"):
+            Fleet(Settings("portal"), config(True), Driver(), Clock())
+
+    asyncio.run(test())
+
+
+def test_words_of_several_parts_share_the_room() -> None:
+    words = {3: b"abc", 200: b""}
+    assert unpack_words(pack_words(words)) == words
+    assert unpack_words(pack_words(words) + b"\x05\x09cut") == words
+
+
+def test_check_tells_two_fleets_of_one_name_and_one_with_two_clocks(tmp_path: Path) -> None:
+    logging.getLogger().handlers.clear()
+    texts = {
+        "a": '[fleet]\nname = "portal"\nlisten = "10.0.0.1:1"\nmembers = ["10.0.0.1:1", "10.0.0.2:1"]\n',
+        "b": '[fleet]\nname = "portal"\nlisten = "10.0.1.1:1"\nmembers = ["10.0.1.1:1", "10.0.1.2:1"]\n',
+        "c": '[fleet]\nname = "portal"\nlisten = "10.0.0.2:1"\nmembers = ["10.0.0.1:1"]\nperiod = 2.0\n',
+    }
+    files = {}
+    for name, text in texts.items():
+        (tmp_path / f"{name}.toml").write_text(text)
+        files[name] = str(tmp_path / f"{name}.toml")
+    assert check([files["a"]], "") == []
+    [two] = check([files["a"], files["b"]], "")
+    assert (two.code, two.line) == ("F311", 2)
+    [clocks] = check([files["a"], files["c"]], "")
+    assert (clocks.code, clocks.line, clocks.instead) == ("F312", 5, "write period = 1")
--- a/tests/operator/test_operator_file.py
+++ b/tests/operator/test_operator_file.py
@@ -13,10 +13,19 @@
 
 ROOT = Path(__file__).parent.parent.parent
 GOOD = '[membership]\nservers = ["127.0.0.1:2181"]\npath = "/salas/portal"\n'
+FLEET = '[fleet]\nname = "portal"\n'
 WS = '[websocket]\nmessages = ["pantalla"]\n'
 
 # text, line, what the message names
 BROKEN: dict[str, tuple[str, int, str]] = {
+    "a fleet without a name": ("[fleet]\n", 1, "lacks name"),
+    "a suspicion under a round": (FLEET + "suspicion = 0.5\n", 3, "shorter than a probe round"),
+    "a memory under its suspicions": (FLEET + "memory = 20\n", 3, "shorter than ten suspicions"),
+    "a fleet of one": (FLEET + 'listen = "10.0.0.4:1"\nmembers = ["10.0.0.4:1"]\n', 4, "nobody to see"),
+    "its own network, and nobody in it": (FLEET + "own_network = true\n", 3, "without listen"),
+    "a member outside the networks": (FLEET + 'members = ["8.8.8.8:1", "10.0.0.4:1"]\n', 1, "in none of"),
+    "a member with a name": (FLEET + 'members = ["proxy-a:1", "10.0.0.4:1"]\n', 1, "is no IPv4 address"),
+    "no network": (FLEET + 'networks = ["10.0.0.1/8"]\n', 3, "must hold IPv4 networks"),
     "no TOML": ("[membership\n", 1, "is no TOML"),
     "no value": ("[membership]\nservers =\n", 2, "is no TOML"),
     "twice": (GOOD + 'path = "/b"\n', 4, "is no TOML"),
@@ -155,7 +164,7 @@
         "import granitepoint.net.driver, granitepoint.net.server\n"
         "m.main([])\n"
         "bad = [n for n in sys.modules if n.startswith(('granitepoint.membership', 'granitepoint.operator',"
-        " 'granitepoint.budgets', 'granitepoint.sidecar',"
+        " 'granitepoint.budgets', 'granitepoint.sidecar', 'granitepoint.fleet', 'granitepoint.clock',"
         " 'granitepoint.benchlink', 'rigs'))]\n"
         "sys.exit(' '.join(bad) or 0)"
     )
--- /dev/null
+++ b/tests/rigs/test_fleet_rig.py
@@ -0,0 +1,71 @@
+"""The fleet's rig itself: scripts and their errors, decisions that hang on seed, link and number alone."""
+
+from __future__ import annotations
+
+import pytest
+
+from granitepoint.fleet.timing import Timing
+from granitepoint.operator import OperatorError
+from rigs.fleet.bed import Bed
+from rigs.fleet.network import Network, Weather
+from rigs.fleet.script import numbers, read
+
+FAULT = '[[fault]]\nat = 1.0\ndo = "kill"\nwho = ["p1"]\n'
+BROKEN = {
+    "unknown deed": ('members = 3\n[[fault]]\nat = 1.0\ndo = "kil"\nwho = ["p1"]\n', 4, "must be one of"),
+    "neither at nor when": ('[[fault]]\ndo = "kill"\nwho = ["p1"]\n', 1, "either `at` or `when`"),
+    "of whom": ('[[fault]]\nat = 1\ndo = "kill"\n', 1, "kill of whom"),
+    "for how long": ('[[fault]]\nat = 1\ndo = "loss"\nwho = ["all"]\n', 1, "for how long"),
+    "no such member": ("members = 1\n" + FAULT, 5, "there are members 0 to 0"),
+    "no event": ('[[fault]]\nwhen = "p1 is ill"\ndo = "kill"\nwho = ["p1"]\n', 2, "must be \"settled\""),
+    "one group": ('[[fault]]\nat = 1\ndo = "partition"\ngroups = ["p1"]\nlasts = 1.0\n', 1, "two groups"),
+    "unknown key": (FAULT + "sahre = 0.1\n", 5, "write share"),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_a_broken_script_is_told_with_its_line(name: str) -> None:
+    text, line, what = BROKEN[name]
+    with pytest.raises(OperatorError) as fault:
+        read(text)
+    assert any(p.line == line and what in f"{p.text} {p.instead}" for p in fault.value.problems)
+
+
+def test_members_are_named_singly_in_spans_or_all() -> None:
+    assert numbers(["p1", "p3-p5"], 6) == [1, 3, 4, 5] and numbers(["all"], 3) == [0, 1, 2]
+
+
+def test_decisions_hang_on_seed_link_and_number_alone() -> None:
+    def fates(order: list[tuple[int, int]]) -> dict[tuple[int, int], list[object]]:
+        network = Network(5, everywhere=Weather(loss=0.3, jitter=0.1, duplicate=0.2, corrupt=0.2))
+        found: dict[tuple[int, int], list[object]] = {}
+        for link in order:
+            found.setdefault(link, []).append(network.carry(*link, b"x" * 50, 0.0))
+        return found
+
+    links = [(0, 1), (1, 0), (2, 0)] * 40
+    assert fates(links) == fates(sorted(links))
+    assert len({str(fate) for fate in fates(links)[0, 1]}) > 20
+
+
+def test_cuts_are_one_way_and_add_up() -> None:
+    network = Network(1)
+    network.cut([0], [1])
+    network.cut([0], [1, 2])
+    assert not network.open(0, 1) and network.open(1, 0) and not network.open(0, 2)
+    network.cut([0], [1], -1)
+    assert not network.open(0, 1)
+    network.cut([0], [1, 2], -1)
+    assert network.open(0, 1) and network.open(0, 2)
+
+
+def test_a_stopped_member_keeps_what_came_and_answers_when_it_goes_on() -> None:
+    bed = Bed(3, Timing(), 1)
+    for number in range(3):
+        bed.start(number)
+    bed.run(5.0)
+    bed.stop(1)
+    bed.run(6.5)
+    assert bed.members[1].inbox
+    bed.go_on(1)
+    assert not bed.members[1].inbox
