--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -25,13 +25,12 @@
 from benchmarks.per_call import Drive, cpu
 from benchmarks.proof import Proof, run
 from granitepoint.fleet.core import Core
-from granitepoint.fleet.entries import Key
 from granitepoint.fleet.guard import Seals
-from granitepoint.fleet.states import LIVING, State
+from granitepoint.fleet.states import State
 from granitepoint.fleet.table import Change
 from granitepoint.fleet.timing import Timing
 from rigs.fleet import model
-from rigs.fleet.bed import Bed, Member, address_of
+from rigs.fleet.bed import Bed, Member, Stage, address_of
 from rigs.fleet.network import Weather
 from rigs.fleet.script import DEEDS, Fault, Player, Script, Top
 from rigs.fleet.world import Seen, Setup, world
@@ -262,66 +261,24 @@
     return Script(Top(members=members), tuple(faults))
 
 
-class Oracle:
-    """What must never be seen in a run of the bed, and how a script is played there."""
+class Oracle(Stage):
+    """Whom a view buries without a cause, beside whom it brings back."""
 
     def __init__(self, bed: Bed, script: Script) -> None:
-        self.bed, self.script = bed, script
-        self.buried: dict[tuple[str, Key], set[object]] = {}
+        super().__init__(bed)
         self.wrong: list[str] = []
-        self.last = 0.0  # when a fault last began or ended
-        bed.watch = self.watch
-        self.network, self.names = bed.network, [member.name for member in bed.members]
         self.excuse = any(f.do in ("partition", "cut", "stop", "clock") for f in script.faults)
 
     def watch(self, member: Member, change: Change) -> None:
-        view = f"{member.name}.{member.lives}"  # a new process begins with none
-        dead = self.buried.setdefault((view, change.entry.key), set())
-        if change.after is State.DEAD:
-            dead.add(change.entry.incarnation)
-            subject = next((m for m in self.bed.members if m.name == change.entry.name), None)
-            alive = subject is not None and subject.core is not None and not subject.stopped
-            mine = subject.core.incarnation if subject is not None and subject.core is not None else None
-            same = mine is not None and mine.process == change.entry.incarnation.process
-            if alive and same and not self.excuse:
-                self.wrong.append(f"{member.name} buried {change.entry.name}, which lives, without a cause")
-        elif change.after in LIVING and change.entry.incarnation in dead:
-            who = f"{change.entry.name} {change.entry.incarnation}"
-            self.wrong.append(f"{who} came back in {member.name}'s view")
-
-    def later(self, wait: float, what: Callable[[], None]) -> None:
-        def now() -> None:
-            self.last = self.bed.now
-            what()
-
-        self.bed.call(self.bed.now + wait, now)
-
-    def kill(self, number: int) -> None:
-        self.bed.kill(number)
-
-    def term(self, number: int) -> None:
-        self.bed.leave(number)
-
-    def start(self, number: int, name: str = "") -> None:
-        if self.bed.members[number].core is None:
-            self.bed.start(number, name)
-
-    def stop(self, number: int) -> None:
-        self.bed.stop(number)
-
-    def go_on(self, number: int) -> None:
-        self.bed.go_on(number)
-
-    def turn_clock(self, number: int, monotonic: float = 0.0, wall: float = 0.0) -> None:
-        self.bed.turn_clock(number, monotonic, wall)
-
-    def storm(self, number: int, rate: float, lasts: float) -> None: ...
-
-    def reset(self, number: int) -> None: ...
-
-    def silence(self, number: int, on: bool) -> None: ...
-
-    def drain(self, server: str, on: bool) -> None: ...
+        super().watch(member, change)
+        if change.after is not State.DEAD or self.excuse:
+            return
+        for subject in self.bed.living:
+            core = subject.core
+            if core is None or subject.stopped or subject.name != change.entry.name:
+                continue
+            if core.incarnation.process == change.entry.incarnation.process:
+                self.wrong.append(f"{member.name} buried {subject.name}, which lives, without a cause")
 
 
 def judged(seed: int) -> tuple[str, float]:
@@ -347,7 +304,7 @@
     took = bed.now - begun
     if not bed.right():
         return "views are not equal after 60 periods", took
-    return "; ".join(oracle.wrong[:2]), took
+    return "; ".join((oracle.wrong + oracle.revived)[:2]), took
 
 
 def seeds(proof: Proof, seed: int) -> None:
--- /dev/null
+++ b/rigs/fleet/__main__.py
@@ -0,0 +1,127 @@
+"""Plays a script of faults and judges the views.
+
+    python -m rigs.fleet play SCRIPT [--real] [--seed N] [--transcript FILE] [--replay FILE]
+    python -m rigs.fleet schema
+
+Without --real: the pure cores, in virtual time. --transcript writes one line for each datagram's fate,
+[s, from, to, number on that link, bytes, [[delay s, bit turned or -1], ...]]; --replay decides by such a
+file.
+Exit code 0 where all views of the living were equal and right at the end, and nobody dead came back; else 1;
+2: a file can't be used.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import sys
+from pathlib import Path
+
+import uvloop
+
+from granitepoint.fleet.timing import Timing
+from granitepoint.operator.reader import OperatorError, read_text
+from granitepoint.sidecar.explain import table_schema
+from rigs.fleet.bed import Bed, Stage
+from rigs.fleet.network import Network
+from rigs.fleet.script import Fault, Player, Script, Top, read
+from rigs.fleet.world import Setup, world
+from rigs.kit import until
+
+SETTLING = 30.0  # periods that are waited for after the last fault
+PERIOD = 0.5  # s, on real processes
+
+
+def schema() -> dict[str, object]:
+    """JSON Schema of a script."""
+    whole = table_schema(Top)
+    whole["properties"]["fault"] = {"type": "array", "items": table_schema(Fault)}
+    return {"$schema": "https://json-schema.org/draft/2020-12/schema", "title": "script of faults", **whole}
+
+
+def virtual(script: Script, network: Network) -> int:
+    bed = Bed(script.top.members, Timing(period=1.0), script.top.seed, network)
+    for number in range(script.top.members):
+        bed.start(number)
+    bed.run(8.0)
+    stage = Stage(bed)
+    player = Player(script, stage, lambda line: print(f"{bed.now:8.2f} s {line}"))
+    stage.on_event = player.seen
+    player.begin()
+    while not player.over and bed.now < 8.0 + script.top.seconds:
+        bed.run(bed.now + 0.25)
+    last = bed.now
+    while not bed.right() and bed.now < last + SETTLING:
+        bed.run(bed.now + 0.25)
+    print(
+        f"{bed.datagrams} datagrams, {bed.network.lost} lost; "
+        f"settled {bed.now - last:.2f} periods after the end"
+    )
+    print("equal and right" if bed.right() else "NOT equal", *(f"; {line}" for line in stage.revived))
+    return 0 if bed.right() and not stage.revived else 1
+
+
+async def real(script: Script, network: Network) -> int:
+    top = script.top
+    async with world(Setup(members=top.members, seed=top.seed, period=PERIOD)) as w:
+        w.network.replayed, w.network.transcript = network.replayed, network.transcript
+        await w.observer.settle(SETTLING, True)
+        player = Player(script, w, lambda line: print(line, flush=True))
+        w.observer.on_event = player.seen
+        player.begin()
+        await until(lambda: player.over, "the script's end", top.seconds)
+        try:
+            took = await w.observer.settle(SETTLING * PERIOD)
+        except TimeoutError:
+            print("NOT equal")
+            return 1
+        await w.quiet()
+        w.observer.read_logs()
+        revived, broken = w.observer.resurrections(), w.audit()
+        print(f"settled {took / PERIOD:.2f} periods after the end; deaths told: {len(w.observer.deaths())}")
+        print(f"dead that came back: {len(revived)}; rules broken: {len(broken)}")
+        for violation in broken[:3]:
+            print(violation)
+        return 1 if revived or broken else 0
+
+
+def main(argv: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(
+        prog="python -m rigs.fleet", description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    commands = parser.add_subparsers(dest="command", required=True)
+    play = commands.add_parser("play", help="play a script")
+    play.add_argument("script", metavar="SCRIPT")
+    play.add_argument("--real", action="store_true", help="on real processes")
+    play.add_argument("--seed", type=int, help="in place of the script's")
+    play.add_argument("--transcript", type=Path, metavar="FILE")
+    play.add_argument("--replay", type=Path, metavar="FILE")
+    commands.add_parser("schema", help="JSON Schema of a script")
+    wanted = parser.parse_args(argv)
+    if wanted.command == "schema":
+        print(json.dumps(schema(), indent=1))
+        return 0
+    try:
+        script = read(read_text(wanted.script)[0], wanted.script)
+        if wanted.seed is not None:
+            script = Script(Top(script.top.members, script.top.seconds, wanted.seed), script.faults)
+        network = Network(script.top.seed)
+        if wanted.replay is not None:
+            network.replay(wanted.replay)
+        if wanted.transcript is not None:
+            network.transcript = wanted.transcript.open("w", encoding="utf-8")
+    except (OperatorError, ValueError, OSError) as fault:
+        print(fault, file=sys.stderr)
+        return 2
+    try:
+        if wanted.real:
+            return asyncio.Runner(loop_factory=uvloop.new_event_loop).run(real(script, network))
+        return virtual(script, network)
+    finally:
+        if network.transcript is not None:
+            network.transcript.close()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rigs/fleet/bed.py
+++ b/rigs/fleet/bed.py
@@ -15,7 +15,7 @@
 from granitepoint.fleet.core import Core
 from granitepoint.fleet.entries import Address, Claim, Incarnation, Phase, Record, entry, first_run, key_of
 from granitepoint.fleet.guard import Seals
-from granitepoint.fleet.states import State
+from granitepoint.fleet.states import LIVING, State
 from granitepoint.fleet.table import Change
 from granitepoint.fleet.timing import Timing
 from rigs.fleet.network import Network
@@ -230,6 +230,66 @@
         return found
 
 
+class Stage:
+    """rigs.fleet.script.Ground on a bed; it also sees whom a view brings back from the dead."""
+
+    def __init__(self, bed: Bed) -> None:
+        self.bed, self.network = bed, bed.network
+        self.buried: dict[tuple[str, bytes], set[Incarnation]] = {}
+        self.revived: list[str] = []
+        self.on_event: Callable[[str], None] | None = None
+        self.happened: set[str] = set()
+        bed.watch = self.watch
+
+    @property
+    def names(self) -> list[str]:
+        return [member.name for member in self.bed.members]
+
+    def watch(self, member: Member, change: Change) -> None:
+        view = f"{member.name}.{member.lives}"  # a new process begins with none
+        dead = self.buried.setdefault((view, change.entry.key), set())
+        if change.after is State.DEAD:
+            dead.add(change.entry.incarnation)
+        elif change.after in LIVING and change.entry.incarnation in dead:
+            who = f"{change.entry.name} {change.entry.incarnation}"
+            self.revived.append(f"{who} came back in {member.name}'s view")
+        event = f"{change.entry.name} is {change.after.value}"
+        if self.on_event is not None and event not in self.happened:
+            self.happened.add(event)
+            self.on_event(event)
+
+    def later(self, wait: float, what: Callable[[], None]) -> None:
+        self.bed.call(self.bed.now + wait, what)
+
+    def kill(self, number: int) -> None:
+        self.bed.kill(number)
+
+    def term(self, number: int) -> None:
+        self.bed.leave(number)
+
+    def start(self, number: int, name: str = "") -> None:
+        if self.bed.members[number].core is None:
+            self.bed.start(number, name)
+
+    def stop(self, number: int) -> None:
+        self.bed.stop(number)
+
+    def go_on(self, number: int) -> None:
+        self.bed.go_on(number)
+
+    def turn_clock(self, number: int, monotonic: float = 0.0, wall: float = 0.0) -> None:
+        self.bed.turn_clock(number, monotonic, wall)
+
+    # What is not there in virtual time: sockets' buffers, TCP, lists.
+    def storm(self, number: int, rate: float, lasts: float) -> None: ...
+
+    def reset(self, number: int) -> None: ...
+
+    def silence(self, number: int, on: bool) -> None: ...
+
+    def drain(self, server: str, on: bool) -> None: ...
+
+
 def hash_of(*parts: int) -> int:
     """A seed of these; the same in every process."""
     return Random(",".join(map(str, parts))).getrandbits(62)
--- a/rigs/fleet/network.py
+++ b/rigs/fleet/network.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from pathlib import Path
 from random import Random
+from typing import TextIO
 
 USUAL = (0.0002, 0.001)  # s of a datagram's way
 
@@ -29,6 +32,7 @@
 
 CLEAR = Weather()
 Link = tuple[int, int]
+Fate = list[tuple[float, int]]  # of a datagram: each copy's delay in s, and its bit that is turned or -1
 
 
 @dataclass
@@ -42,6 +46,8 @@
     counts: dict[Link, int] = field(default_factory=dict)
     lost: int = 0
     seen: Callable[[bytes], None] | None = None  # is shown each datagram
+    transcript: TextIO | None = None  # a line for each decision
+    replayed: dict[tuple[int, int, int], Fate] = field(default_factory=dict)  # by link and number
 
     def cut(self, senders: Iterable[int], receivers: Iterable[int], by: int = 1) -> None:
         """-1 mends it."""
@@ -66,23 +72,46 @@
             self.seen(data)
         link = sender, receiver
         number = self.counts[link] = self.counts.get(link, 0) + 1
-        if not self.open(sender, receiver):
+        fate = self.replayed.get((sender, receiver, number))
+        if fate is None:
+            fate = self._decide(sender, receiver, number, len(data))
+        if not fate:
             self.lost += 1
+        if self.transcript is not None:
+            line = [round(now, 4), sender, receiver, number, len(data), fate]
+            self.transcript.write(json.dumps(line) + "\n")
+        return [(wait, data if place < 0 else turned(data, place)) for wait, place in fate]
+
+    def _decide(self, sender: int, receiver: int, number: int, size: int) -> Fate:
+        if not self.open(sender, receiver):
             return []
-        weather = self.weather.get(link) or self.everywhere
+        weather = self.weather.get((sender, receiver)) or self.everywhere
         random = Random(f"{self.seed} {sender} {receiver} {number}")
         usual = random.uniform(*self.usual)
         if not weather:
-            return [(usual, data)]
+            return [(usual, -1)]
         if random.random() < weather.loss:
-            self.lost += 1
             return []
-        copies = []
+        fate = []
         for _ in range(2 if random.random() < weather.duplicate else 1):
             wait = usual + weather.delay + random.uniform(0, weather.jitter)
-            sent = data
-            if random.random() < weather.corrupt:
-                place = random.randrange(len(data))
-                sent = data[:place] + bytes((data[place] ^ 1 << random.randrange(8),)) + data[place + 1 :]
-            copies.append((wait, sent))
-        return copies
+            spoilt = random.random() < weather.corrupt
+            fate.append((wait, random.randrange(size * 8) if spoilt else -1))
+        return fate
+
+    def replay(self, file: Path) -> None:
+        """Decides as a transcript says, datagram by datagram, and by itself beyond its end. Raises ValueError
+        with file and line."""
+        for place, line in enumerate(file.read_text(encoding="utf-8").splitlines(), 1):
+            try:
+                _, sender, receiver, number, _, fate = json.loads(line)
+                self.replayed[sender, receiver, number] = [(float(wait), int(bit)) for wait, bit in fate]
+            except (ValueError, TypeError) as fault:
+                text = f"{file}:{place}: no decision: {fault}; record the run again"
+                raise ValueError(text) from None
+
+
+def turned(data: bytes, place: int) -> bytes:
+    """With one bit turned."""
+    at = place // 8 % len(data)
+    return data[:at] + bytes((data[at] ^ 1 << place % 8,)) + data[at + 1 :]
--- a/rigs/fleet/relay.py
+++ b/rigs/fleet/relay.py
@@ -8,9 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any, cast
 
 from rigs.fleet.network import Network
@@ -42,13 +40,12 @@
 
 
 class Datagrams:
-    def __init__(self, members: int, port: int, network: Network, transcript: Path | None = None) -> None:
+    def __init__(self, members: int, port: int, network: Network) -> None:
         self.loop = asyncio.get_running_loop()
         self.members, self.port, self.network = members, port, network
         self.known = [_Known(self, number) for number in range(members)]
         self.number_of = {host(77, number): number for number in range(members)}
         self.carried = self.bytes = 0
-        self.sink = transcript.open("w", encoding="utf-8") if transcript is not None else None
         self.started = self.loop.time()
 
     def addresses(self) -> list[str]:
@@ -64,8 +61,6 @@
         for known in self.known:
             if known.transport is not None:
                 known.transport.close()
-        if self.sink is not None:
-            self.sink.close()
 
     def came(self, source: tuple[str | Any, int], receiver: int, data: bytes) -> None:
         sender = self.number_of.get(str(source[0]), NOBODY)
@@ -73,12 +68,7 @@
             return
         self.carried += 1
         self.bytes += len(data)
-        copies = self.network.carry(sender, receiver, data, self.loop.time())
-        if self.sink is not None:
-            line = [round(self.loop.time() - self.started, 4), sender, receiver,
-                    self.network.counts[sender, receiver], len(data),
-                    [[round(wait, 5), sent != data] for wait, sent in copies]]  # fmt: skip
-            self.sink.write(json.dumps(line) + "\n")
+        copies = self.network.carry(sender, receiver, data, self.loop.time() - self.started)
         for wait, sent in copies:
             if wait > 0:
                 self.loop.call_later(wait, self._hand_on, sender, receiver, sent)
--- a/rigs/fleet/world.py
+++ b/rigs/fleet/world.py
@@ -52,7 +52,6 @@
     counts: bool = True
     view: bool = True  # the fleet is on
     start: bool = True  # all at once; else the script starts them
-    transcript: Path | None = None
     root: Path = ROOT
     newer: frozenset[int] = frozenset()  # members of the next version
     strangers: frozenset[int] = frozenset()  # members of another fleet, with these addresses by mistake
@@ -101,7 +100,7 @@
         self.setup, self.folder = setup, folder
         self.network = Network(setup.seed, usual=(0.0, 0.0))
         self.port, self.http = free_port(), free_port()
-        self.relay = Datagrams(setup.members, self.port, self.network, setup.transcript)
+        self.relay = Datagrams(setup.members, self.port, self.network)
         self.ledger = Ledger()
         self.seats = [Seat(number, f"p{number}", folder / f"p{number}") for number in range(setup.members)]
         self.nodos = [
--- a/tests/rigs/test_fleet_rig.py
+++ b/tests/rigs/test_fleet_rig.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import json
+from pathlib import Path
+
 import pytest
 
 from granitepoint.fleet.timing import Timing
 from granitepoint.operator import OperatorError
+from rigs.fleet.__main__ import main
 from rigs.fleet.bed import Bed
 from rigs.fleet.network import Network, Weather
 from rigs.fleet.script import numbers, read
@@ -69,3 +73,42 @@
     assert bed.members[1].inbox
     bed.go_on(1)
     assert not bed.members[1].inbox
+
+
+def test_a_transcript_says_each_fate_and_is_replayed_to_the_datagram(tmp_path: Path) -> None:
+    """The replay has no faults in its script's weather, and loses the same datagrams."""
+    script = tmp_path / "script.toml"
+    script.write_text(
+        'members = 5\n[[fault]]\nat = 1.0\ndo = "loss"\nwho = ["all"]\nshare = 0.2\nlasts = 4.0\n'
+    )
+    calm = tmp_path / "calm.toml"
+    calm.write_text("members = 5\n")
+    first, again = tmp_path / "first", tmp_path / "again"
+    assert main(["play", str(script), "--transcript", str(first)]) == 0
+    lost = [line for line in first.read_text().splitlines() if json.loads(line)[5] == []]
+    assert lost
+    assert main(["play", str(calm), "--replay", str(first), "--transcript", str(again)]) == 0
+    count = len(again.read_text().splitlines())
+    assert again.read_text().splitlines() == first.read_text().splitlines()[:count] and count > 100
+    first.write_text("[1, 2]\n")
+    assert main(["play", str(calm), "--replay", str(first)]) == 2
+
+
+def test_an_event_starts_a_fault_and_the_schema_names_all_keys(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    script = tmp_path / "script.toml"
+    script.write_text(
+        'members = 5\n[[fault]]\nat = 1.0\ndo = "kill"\nwho = ["p1"]\n'
+        '[[fault]]\nwhen = "p1 is dead"\nafter = 0.5\ndo = "start"\nwho = ["p1"]\n'
+    )
+    assert main(["play", str(script)]) == 0
+    assert [line.split(" s ")[1] for line in capsys.readouterr().out.splitlines()[:2]] == [
+        "kill p1",
+        "start p1",
+    ]
+    assert main(["schema"]) == 0
+    assert set(json.loads(capsys.readouterr().out)["properties"]["fault"]["items"]["properties"]) >= {
+        "do",
+        "when",
+    }
