--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -41,6 +41,7 @@
 MEDIAN_BEYOND, WORST_BEYOND = 3.0, 6.0  # periods from a crash to its being known, beyond its suspicion
 FLAT = 1.5  # bytes a member and period at the largest size, against the smallest
 PERIOD = 0.5  # s, on real processes
+EAGER = 2.0  # periods of suspicion in the comparison: short enough that slow members die of it
 WORKERS = 4  # processes that play schedules
 
 
@@ -339,8 +340,11 @@
 
 
 class Plain(Core):
-    """SWIM without Lifeguard's parts: no health of its own, no confirmations, no word to the suspect first,
-    no last probe."""
+    """SWIM without Lifeguard's parts and ours: no health of its own, no confirmations, no word to the suspect
+    first, no last probe, and no notice that it stood still itself."""
+
+    def _pass(self, now: float) -> None:
+        self.now = max(self.now, now + self.offset)
 
     def _unwell(self, by: int) -> None:
         self.table.timing = OneLength(self.timing.period, self.timing.suspicion, self.timing.memory)
@@ -418,7 +422,7 @@
 
 def suffers(make: Callable[..., Core], members: int, periods: float, seed: int) -> tuple[int, int, float]:
     """False deaths of healthy members, of slow ones, and bytes a member and period."""
-    bed = Bed(members, Timing(period=1.0), seed, make=make)
+    bed = Bed(members, Timing(period=1.0, suspicion=EAGER), seed, make=make)
     bed.adopt()
     slow = slow_spells(members, 0.05, periods, seed)
     for member, spells in slow.items():
