--- a/rigs/callers.py
+++ b/rigs/callers.py
@@ -18,6 +18,7 @@
 from rigs.ledger import Answer, Effect, Ledger, Taken
 
 MOST_CONNECTIONS = 400  # of one caller's pool; beyond it a request is not sent, and counted as such
+KEPT = 2.0  # s for which an idle connection is used again; the proxy closes it some seconds later
 GIVE_UP = 0.25  # s beyond its budget after which a request without an answer is written off
 
 
@@ -109,6 +110,8 @@
         self.count += 1
         call = f"{of or self.name}-{self.count:08x}"
         self.open.add(call)
+        while self.idle and self.idle[-1].idle_since < self.loop.time() - KEPT:
+            self.idle.pop().close()  # a request could cross its end
         if self.idle:
             self.idle.pop().ask(cls, call, key, more)
         elif self.connections < MOST_CONNECTIONS:
@@ -167,6 +170,7 @@
         self.call = ""
         self.parser: Any = None
         self.timer: asyncio.TimerHandle | None = None
+        self.idle_since = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -205,6 +209,7 @@
         keep = self.parser.should_keep_alive()
         self._end(self.parser.get_status_code())
         if keep and self.transport is not None:
+            self.idle_since = self.callers.loop.time()
             self.callers.idle.append(self)
         else:
             self.close()
