--- a/granitepoint/fleet/joining.py
+++ b/granitepoint/fleet/joining.py
@@ -132,7 +132,7 @@
             self.joins, self.welcomed = 0, False
             self._set(0.0, "join")
             return
-        if not self.retries:
+        if not self.retries and (self.table.dead or self.seeds):
             used = {held.record.address for held in self.table.entries.values()}
             dead = [g.entry.record.address for g in self.table.gone.values() if g.state is State.DEAD]
             left = {g.entry.record.address for g in self.table.gone.values() if g.state is State.LEFT}
