Read again: the fleet's layers name their timers, one way to begin a reply, dead fields out

Behaviour and bytes on the wire are as they were. What stood two to twelve times has one place: a datagram that begins with a probe's number (Writer.probe, Base._reply), this member's own entry (Base._own), whether somebody was heard just now, a prefix's digests as they travel, an entry's mark. Core no longer repeats Base's parameters: each layer adds its timers. host:port is read by net.listing.address, as elsewhere, in the transport and the rig. Fields that nobody read are gone.

--- a/granitepoint/fleet/base.py
+++ b/granitepoint/fleet/base.py
@@ -15,10 +15,13 @@
 from granitepoint.fleet.entries import (
     MOST_LIFE,
     Address,
+    Claim,
+    Entry,
     Incarnation,
     Key,
     Phase,
     Record,
+    entry,
     first_run,
     fleet_id,
     key_of,
@@ -36,7 +39,7 @@
     STALL,
     Timing,
 )
-from granitepoint.fleet.wire import Figures, Kind, Said, Writer
+from granitepoint.fleet.wire import Datagram, Figures, Kind, Said, Writer
 
 MOST_RELAYS = 256  # probes in the stead of others that are open at once
 MOST_ROWS = 4  # of a view in one answer
@@ -67,22 +70,16 @@
     """What a member's own datagrams said last."""
 
     at: float
-    process: tuple[int, int]
     digest: int
     figures: Figures
-    changing: bool
-    minority: bool
 
 
 @dataclass(slots=True)
 class Probe:
     key: Key
     process: tuple[int, int]
-    number: int
-    last: bool  # before its death is declared
     asked: int = 0
     nacks: int = 0
-    silent: bool = False  # it answers nobody in time: of no account to this member's own health
 
 
 @dataclass(slots=True)
@@ -160,7 +157,13 @@
         self.out: list[tuple[Address, bytes]] = []
         self.deliveries: list[tuple[Key, int, bytes]] = []
         self.notes: list[str] = []
-        self._handlers: dict[str, Callable[[int, bytes], None]] = {}  # of timers, by their names
+        self._handlers = self._timed()
+        self._set(0.0, "join")
+        self._set(timing.period, "housekeeping")
+
+    def _timed(self) -> dict[str, Callable[[int, bytes], None]]:
+        """What each timer does, by its name; a layer adds its own."""
+        return {"gossip": self._gossip}
 
     # what others read
     @property
@@ -246,6 +249,10 @@
         return self.questions
 
     # datagrams out
+    def _reply(self, message: Datagram) -> Writer:
+        """To a probe or question, and no longer than that."""
+        return Writer(message.size).probe(message.probe() or 0)
+
     def _send(self, address: Address, kind: Kind, writer: Writer) -> None:
         self.number += 1
         flags = wire.MINORITY if self.minority else 0
@@ -302,6 +309,15 @@
             self._spread(FANOUT)
             self._set(GOSSIP_EVERY * self.timing.period, "gossip")
 
+    def _own(self, claim: Claim = Claim.ALIVE, phase: Phase | None = None) -> Entry:
+        """What this member says of itself now."""
+        phase = self.phase if phase is None else phase
+        return entry(self.key, self.incarnation, claim, self.record, phase, self.word)
+
+    def _just_heard(self, key: Key) -> bool:
+        heard = self.heard.get(key)
+        return heard is not None and self.now - heard.at < JUST * self.timing.period
+
     def _name(self, key: Key) -> str:
         if key == self.key:
             return self.record.name
--- a/granitepoint/fleet/comparing.py
+++ b/granitepoint/fleet/comparing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 
 from granitepoint.fleet import sync
@@ -22,6 +23,9 @@
 
 
 class Comparing(Base):
+    def _timed(self) -> dict[str, Callable[[int, bytes], None]]:
+        return {**super()._timed(), "begin walk": self._begin_walk, "walk": self._walk_late}
+
     def _compare(self, partner: Key, address: Address, digest: int, young: bool = False) -> None:
         if digest == self.table.digest or self.walk is not None or self.standing is Standing.CONFLICT:
             return
@@ -34,7 +38,7 @@
             if not (quiet or starved):
                 return
         held = self.table.entries.get(partner)
-        self.walk = sync.Walk(partner, held.record.address if held is not None else address, self.now)
+        self.walk = sync.Walk(partner, held.record.address if held is not None else address)
         self.walked_at = self.now
         self._set(0.0, "begin walk")  # not at once: nobody is answered with more than came
 
@@ -48,26 +52,19 @@
         if not walk.open:
             self.walk = None
             return
-        if not self._may_exchange():
+        if self.exchanges <= 0:
             self.walk = None  # the rest in the next period, with whoever differs then
             self.walked_at = float("-inf")
             return
+        self.exchanges -= 1
         walk.asked = walk.open[-1]
         walk.number = self._question()
-        walk.questions += 1
-        writer = Writer()
-        writer.add(Section.PROBE, walk.number.to_bytes(4, "big"))
+        writer = Writer().probe(walk.number)
         by_name = sync.ask(self.table, walk.asked, writer)
         self._pad(writer)
         self._send(walk.address, Kind.LEAVES if by_name else Kind.TREE, writer)
         self._set(ASK * self.timing.period * (1 + self.health), "walk", walk.number)
 
-    def _may_exchange(self) -> bool:
-        if self.exchanges <= 0:
-            return False
-        self.exchanges -= 1
-        return True
-
     def _walk_late(self, number: int, key: bytes) -> None:
         walk = self.walk
         if walk is None or walk.number != number:
@@ -105,15 +102,13 @@
             self._send(address, Kind.GOSSIP, writer)
 
     def _answer_tree(self, message: Datagram, source: Address) -> None:
-        writer = Writer(message.size)
-        writer.add(Section.PROBE, (message.probe() or 0).to_bytes(4, "big"))
+        writer = self._reply(message)
         for value in message.all(Section.TREE)[:1]:
             sync.answer_branches(self.table, value, writer)
             self._send(source, Kind.BRANCHES, writer)
 
     def _answer_leaves(self, message: Datagram, source: Address) -> None:
-        writer = Writer(message.size)
-        writer.add(Section.PROBE, (message.probe() or 0).to_bytes(4, "big"))
+        writer = self._reply(message)
         for value in message.all(Section.LEAVES)[:1]:
             if sync.answer_leaves(self.table, value, self.key, writer):
                 self._pad(writer)  # so that what is wanted may come in one
--- a/granitepoint/fleet/core.py
+++ b/granitepoint/fleet/core.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Sequence
+from collections.abc import Callable
+from dataclasses import replace
 from typing import NamedTuple
 
 from granitepoint.fleet import wire
@@ -29,11 +30,8 @@
     Entry,
     Key,
     Phase,
-    Record,
-    entry,
     shown,
 )
-from granitepoint.fleet.guard import Seals
 from granitepoint.fleet.identity import Standing
 from granitepoint.fleet.joining import Joining
 from granitepoint.fleet.states import State, Step
@@ -43,7 +41,6 @@
     FANOUT,
     YOUNG,
     YOUNG_EXCHANGES,
-    Timing,
 )
 from granitepoint.fleet.wire import Datagram, Figures, Kind, Malformed, Said, Section, Writer, said_of
 
@@ -58,28 +55,8 @@
 
 
 class Core(Joining):
-    def __init__(
-        self,
-        fleet: str,
-        record: Record,
-        seeds: Sequence[Address],
-        timing: Timing,
-        seed: int,
-        now: float,
-        wall: float,
-        seals: Seals | None = None,
-    ) -> None:
-        """`seeds`: addresses at which others may be; its own among them is passed over."""
-        super().__init__(fleet, record, seeds, timing, seed, now, wall, seals)
-        self._handlers = {
-            "join": self._join, "probe": self._begin_probe, "again": self._again, "ask": self._ask,
-            "verdict": self._verdict, "suspicion": self._suspicion_due, "gossip": self._gossip,
-            "retry": self._retry, "walk": self._walk_late, "begin walk": self._begin_walk,
-            "relay": self._relay_over, "housekeeping": self._housekeeping, "contest": self._contest,
-            "say": self._say_now,
-        }  # fmt: skip
-        self._set(0.0, "join")
-        self._set(timing.period, "housekeeping")
+    def _timed(self) -> dict[str, Callable[[int, bytes], None]]:
+        return {**super()._timed(), "housekeeping": self._housekeeping}
 
     def take(self) -> Taken:
         found = Taken(self.out, self.table.changes, self.deliveries, self.notes)
@@ -109,7 +86,7 @@
         if self.standing is not Standing.MEMBER:
             return
         self.identity.leave()
-        mine = entry(self.key, self.incarnation, Claim.LEFT, self.record, Phase.LEAVING, self.word)
+        mine = self._own(Claim.LEFT, Phase.LEAVING)
         self.table.own(self.now, mine, "ends")
         said = said_of(mine, record=False)
         self.gossip.add(said, 4 * FANOUT)
@@ -165,7 +142,7 @@
         if source not in self.strangers and len(self.strangers) < MOST_STRANGERS:
             self.strangers.add(source)
             self.notes.append(
-                f"datagrams of another fleet come from {shown(source)}; " "give each fleet its own members"
+                f"datagrams of another fleet come from {shown(source)}; give each fleet its own members"
             )
 
     # datagrams in
@@ -217,10 +194,7 @@
         old = self.heard.get(message.sender)
         if old is None and len(self.heard) >= MOST_PATHS:
             return
-        self.heard[message.sender] = Heard(
-            self.now, message.incarnation.process, message.digest, message.figures, message.changing,
-            message.minority,
-        )  # fmt: skip
+        self.heard[message.sender] = Heard(self.now, message.digest, message.figures)
 
     def _hear(self, said: Said, message: Datagram, source: Address) -> None:
         """One claim, from whoever told it."""
@@ -238,10 +212,7 @@
             # Who is new to this view may be new to others, too: the whole record goes on.
             new = old is None or old.incarnation.process != said.incarnation.process
             record = self.table.held(said.key).record if new else None  # type: ignore[union-attr]
-            self._pass_on(
-                Said(said.key, said.incarnation, said.claim, said.phase, said.word, said.accuser, said.sure,
-                     record)
-            )  # fmt: skip
+            self._pass_on(replace(said, record=record))
             if step in (Step.SUSPICION, Step.CONFIRM):
                 self._time_suspicion(said.key)
             if new:
@@ -304,7 +275,7 @@
     def adopt(self, entries: dict[Key, Entry], order: list[Key], digest: int) -> None:
         """Begins as a member that knows all these; its own entry is among them."""
         mine = entries[self.key]
-        self.identity.adopt(mine.incarnation)
+        self.identity.incarnation = mine.incarnation
         self.table.entries, self.table.order, self.table.digest = dict(entries), list(order), digest
         self.phase, self.word = mine.phase, mine.word
         self.timers = [timer for timer in self.timers if timer[2] != "join"]
--- a/granitepoint/fleet/identity.py
+++ b/granitepoint/fleet/identity.py
@@ -34,9 +34,6 @@
         self.before = Standing.JOINING  # the contest
         self.complained = ""
 
-    def adopt(self, incarnation: Incarnation) -> None:
-        self.incarnation = incarnation
-
     def renew(self, said: Incarnation) -> None:
         """Denies a suspicion of this process, or takes back what it last said of itself."""
         self.incarnation = max(self.incarnation, said).next()
--- a/granitepoint/fleet/joining.py
+++ b/granitepoint/fleet/joining.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from dataclasses import replace
+
 from granitepoint.fleet import sync
 from granitepoint.fleet.base import MOST_STRANGERS
 from granitepoint.fleet.entries import (
     Address,
     Claim,
-    entry,
     shown,
 )
 from granitepoint.fleet.identity import Standing
@@ -23,11 +25,17 @@
 
 
 class Joining(Probing):
+    def _timed(self) -> dict[str, Callable[[int, bytes], None]]:
+        return {
+            **super()._timed(), "join": self._join, "retry": self._retry, "contest": self._contest,
+            "say": self._say_now,
+        }  # fmt: skip
+
     # what it says of itself
     def _claim(self, reason: str) -> None:
         """Its entry as it is now, into its own view and on to all."""
         known = self.table.entries.get(self.key)
-        mine = entry(self.key, self.incarnation, Claim.ALIVE, self.record, self.phase, self.word)
+        mine = self._own()
         self.table.own(self.now, mine, reason)
         new = known is None or known.incarnation.process != mine.incarnation.process
         self.said_at = self.now
@@ -110,15 +118,11 @@
     def _welcome(self, message: Datagram, source: Address) -> None:
         """Who asks is told who holds its name, who this is, and some who live. It is no member by that."""
         writer = Writer(message.size)
-        if self.table.held(message.sender) is not None:
-            said = sync.about(self.table, message.sender, self.key)
-            held = self.table.held(message.sender)
-            assert held is not None
-            writer.said(Said(said.key, said.incarnation, said.claim, said.phase, said.word, said.accuser,
-                             said.sure, held.record))  # fmt: skip
+        held = self.table.held(message.sender)
+        if held is not None:
+            writer.said(replace(sync.about(self.table, held.key, self.key), record=held.record))
         if self.standing in (Standing.JOINING, Standing.MEMBER):
-            mine = entry(self.key, self.incarnation, Claim.ALIVE, self.record, self.phase, self.word)
-            writer.said(said_of(mine))
+            writer.said(said_of(self._own()))
         for key in self._draw(FANOUT, (message.sender,)):
             writer.said(sync.about(self.table, key, self.key))
         self._send(source, Kind.WELCOME, writer)
@@ -146,8 +150,7 @@
                 for gone in self.table.gone.values()
                 if gone.state is State.DEAD and gone.entry.record.address == address
             ]
-            writer = Writer()
-            writer.add(Section.PROBE, self._question().to_bytes(4, "big"))
+            writer = Writer().probe(self._question())
             for dead_key in dead_there[:1]:
                 writer.said(sync.about(self.table, dead_key, self.key))
             writer.said(said_of(self.table.entries[self.key]))
@@ -168,9 +171,7 @@
                         f"a process at {shown(source)} wants the name {self.record.name}, which is "
                         "this one's; give one of them another name"
                     )
-                writer = Writer(message.size)
-                writer.add(Section.PROBE, (message.probe() or 0).to_bytes(4, "big"))
-                self._send(source, Kind.ACK, writer)
+                self._send(source, Kind.ACK, self._reply(message))
         elif kind is Kind.JOIN:
             # A successor, or who takes the name by mistake: it is to know that the name is held.
             self._welcome(message, source)
@@ -187,8 +188,7 @@
             if self.standing is Standing.MEMBER:
                 self._claim("comes after a process of its name")
             return
-        writer = Writer()
-        writer.add(Section.PROBE, self._question().to_bytes(4, "big"))
+        writer = Writer().probe(self._question())
         writer.add(Section.NAME, self.record.name.encode())
         self._send(self.identity.rival_address, Kind.PING, writer)
         self._set(self.timing.period / 2, "contest", number + 1)
--- a/granitepoint/fleet/probing.py
+++ b/granitepoint/fleet/probing.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from granitepoint.fleet import sync, wire
 from granitepoint.fleet.base import (
-    JUST,
     MOST_PATHS,
     MOST_RELAYS,
     ODD,
@@ -33,6 +34,12 @@
 
 
 class Probing(Comparing):
+    def _timed(self) -> dict[str, Callable[[int, bytes], None]]:
+        return {
+            **super()._timed(), "probe": self._begin_probe, "again": self._again, "ask": self._ask,
+            "verdict": self._verdict, "relay": self._relay_over, "suspicion": self._suspicion_due,
+        }  # fmt: skip
+
     def _into_ring(self, key: Key) -> None:
         if key in self.table.entries and key not in self.ring:
             self.ring.insert(self.random.randint(0, len(self.ring)), key)
@@ -55,10 +62,10 @@
         if target is not None:
             self._probe(target)
 
-    def _probe(self, target: Key, last: bool = False) -> None:
+    def _probe(self, target: Key) -> None:
         held = self.table.entries[target]
         number = self._question()
-        self.probes[number] = Probe(target, held.incarnation.process, number, last)
+        self.probes[number] = Probe(target, held.incarnation.process)
         self._ping(number)
         span = self.timing.period * (1 + self.health)
         self._set(AGAIN * span, "again", number)
@@ -70,8 +77,7 @@
         held = self.table.entries.get(probe.key)
         if held is None:
             return
-        writer = Writer()
-        writer.add(Section.PROBE, number.to_bytes(4, "big"))
+        writer = Writer().probe(number)
         if probe.key in self.table.suspicions:  # the suspect hears of it first (Lifeguard, 4.3: buddy)
             writer.said(sync.about(self.table, probe.key, self.key))
         self.gossip.fill(writer)
@@ -89,8 +95,7 @@
         helpers = self._draw(HELPERS, (probe.key,))
         probe.asked = len(helpers)
         for helper in helpers:
-            writer = Writer()
-            writer.add(Section.PROBE, number.to_bytes(4, "big"))
+            writer = Writer().probe(number)
             writer.add(Section.TARGET, probe.key + wire.pack_address(held.record.address))
             self._pad(writer, ROOM_FOR_TWO)
             self._send(self.table.entries[helper].record.address, Kind.ASK, writer)
@@ -112,14 +117,11 @@
             self._time_suspicion(probe.key)
 
     def _answer_ping(self, message: Datagram, source: Address) -> None:
-        writer = Writer(message.size)
-        writer.add(Section.PROBE, (message.probe() or 0).to_bytes(4, "big"))
+        writer = self._reply(message)
         origin = message.one(Section.ORIGIN)
         if origin is not None:
-            heard = self.heard.get(bytes(origin[:6]))
-            lately = heard is not None and self.now - heard.at < JUST * self.timing.period
-            writer.add(Section.HEARD, b"\x01" if lately else b"\x00")
-            asker = self.table.entries.get(bytes(origin[:6]))
+            writer.add(Section.HEARD, b"\x01" if self._just_heard(origin[:6]) else b"\x00")
+            asker = self.table.entries.get(origin[:6])
             if asker is not None:  # whether it hears this member is seen by a datagram straight to it
                 self._send(asker.record.address, Kind.GOSSIP, Writer())
         state = self.table.state(message.sender)
@@ -137,8 +139,7 @@
         relay = self.relays.pop(number, None)
         if relay is not None:
             if message.sender == relay.target:
-                writer = Writer()
-                writer.add(Section.PROBE, relay.number.to_bytes(4, "big"))
+                writer = Writer().probe(relay.number)
                 writer.add(Section.TARGET, relay.target + wire.pack_address(relay.target_address))
                 writer.add(Section.HEARD, message.one(Section.HEARD) or b"\x00")
                 self._send(relay.address, Kind.ACK, writer)
@@ -154,8 +155,7 @@
                 self._reached(probe.key, "")
         elif target is not None and target[:6] == probe.key:
             del self.probes[number]
-            heard = self.heard.get(probe.key)
-            lately = heard is not None and self.now - heard.at < JUST * self.timing.period
+            lately = self._just_heard(probe.key)
             hears_us = message.one(Section.HEARD) == b"\x01"
             self._reached(
                 probe.key, WAYS[1 if lately and hears_us else 2 if hears_us else 3 if lately else 4]
@@ -185,8 +185,7 @@
             return  # only who is known is asked, for who is known
         mine = self._question()
         self.relays[mine] = Relay(source, number, key, address)
-        writer = Writer(message.size)
-        writer.add(Section.PROBE, mine.to_bytes(4, "big"))
+        writer = Writer(message.size).probe(mine)
         writer.add(Section.ORIGIN, message.sender)
         self._pad(writer, ROOM_FOR_TWO)
         self._send(address, Kind.PING, writer)
@@ -195,9 +194,7 @@
     def _relay_over(self, number: int, key: bytes) -> None:
         relay = self.relays.pop(number, None)
         if relay is not None:
-            writer = Writer()
-            writer.add(Section.PROBE, relay.number.to_bytes(4, "big"))
-            self._send(relay.address, Kind.NACK, writer)
+            self._send(relay.address, Kind.NACK, Writer().probe(relay.number))
 
     # suspicion
     def _time_suspicion(self, key: Key) -> None:
@@ -212,7 +209,7 @@
         if suspicion is None or abs(turn) != suspicion.turn:
             return
         if turn > 0:
-            self._probe(key, last=True)
+            self._probe(key)
             self._set(max(0.0, suspicion.due - self.now), "suspicion", -turn, key)
             return
         span = self.timing.period * (1 + self.health)
--- a/granitepoint/fleet/sync.py
+++ b/granitepoint/fleet/sync.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass, field
 
-from granitepoint.fleet.entries import KEY_BYTES, Address, Key
+from granitepoint.fleet.entries import KEY_BYTES, Address, Entry, Key
 from granitepoint.fleet.states import State
 from granitepoint.fleet.table import NIBBLES, Table
 from granitepoint.fleet.wire import BRANCHES, NODE, TREE, Malformed, Said, Section, Writer, said_of
@@ -26,12 +26,10 @@
 
     partner: Key
     address: Address
-    began: float
     open: list[Prefix] = field(default_factory=lambda: [(0, 0)])
     number: int = 0  # of the question that is out; 0: none
     asked: Prefix = (0, 0)
     tries: int = 0
-    questions: int = 0
 
 
 def ask(table: Table, prefix: Prefix, writer: Writer) -> bool:
@@ -41,14 +39,30 @@
     for item in table.below(depth, path):
         mine.append(item)
         if len(mine) > FEW and depth < NIBBLES:
-            digests = [digest.to_bytes(8, "big") for digest in table.branches(depth, path)]
-            writer.add(Section.TREE, TREE.pack(depth, path, *digests))
+            writer.add(Section.TREE, _tree(table, prefix))
             return False
-    listed = b"".join(item.key + item.tag.to_bytes(8, "big")[:TAG] for item in mine[:FEW])
+    listed = b"".join(item.key + _mark(item) for item in mine[:FEW])
     writer.add(Section.LEAVES, NODE.pack(depth, path) + listed)
     return True
 
 
+def _mark(item: Entry) -> bytes:
+    """What an entry is named by, beside its key."""
+    return item.tag.to_bytes(8, "big")[:TAG]
+
+
+def _tree(table: Table, prefix: Prefix) -> bytes:
+    """The digests of a prefix's parts, as they travel."""
+    return TREE.pack(*prefix, *(digest.to_bytes(8, "big") for digest in table.branches(*prefix)))
+
+
+def _whole(value: bytes) -> Prefix:
+    """The prefix of digests that came, all of them."""
+    if len(value) != TREE.size:
+        raise Malformed("digests that are cut short")
+    return _prefix(value)
+
+
 def _prefix(value: bytes) -> Prefix:
     if len(value) < NODE.size:
         raise Malformed("a prefix that is cut short")
@@ -60,24 +74,17 @@
 
 def answer_branches(table: Table, value: bytes, writer: Writer) -> None:
     """The same part's digests as this side has them."""
-    if len(value) != TREE.size:
-        raise Malformed("digests that are cut short")
-    depth, path = _prefix(value)
-    digests = [digest.to_bytes(8, "big") for digest in table.branches(depth, path)]
-    writer.add(Section.TREE, TREE.pack(depth, path, *digests))
+    writer.add(Section.TREE, _tree(table, _whole(value)))
 
 
 def differing(table: Table, value: bytes) -> list[Prefix]:
     """The parts that the other side has otherwise."""
-    if len(value) != TREE.size:
-        raise Malformed("digests that are cut short")
-    depth, path = _prefix(value)
-    theirs = TREE.unpack(value)[2:]
-    mine = table.branches(depth, path)
+    depth, path = prefix = _whole(value)
+    mine, theirs = TREE.unpack(_tree(table, prefix)), TREE.unpack(value)
     return [
         (depth + 1, path << 4 | branch)
         for branch in range(BRANCHES)
-        if mine[branch].to_bytes(8, "big") != theirs[branch]
+        if mine[2 + branch] != theirs[2 + branch]
     ]
 
 
@@ -101,7 +108,7 @@
     for key, tag in theirs.items():
         mine = table.entries.get(key)
         if mine is not None:
-            if mine.tag.to_bytes(8, "big")[:TAG] != tag:
+            if _mark(mine) != tag:
                 told.append(about(table, key, me))
         elif key in table.gone:
             told.append(about(table, key, me))
--- a/granitepoint/fleet/transport.py
+++ b/granitepoint/fleet/transport.py
@@ -21,6 +21,7 @@
 from granitepoint.fleet.timing import Timing
 from granitepoint.fleet.wire import MOST_DATAGRAM, MOST_LIST, Figures, Kind
 from granitepoint.net.config import Config, ConfigError
+from granitepoint.net.listing import address as address_of
 from granitepoint.net.peers import Member
 from granitepoint.operator import Fleet as Settings
 from granitepoint.operator import OperatorError, Problem, load
@@ -91,24 +92,19 @@
 
 def place_of(settings: Settings, config: Config) -> Place:
     """From the operator's file and the platform's configuration. Raises ConfigError."""
-
-    def read(text: str) -> Address:
-        host, _, port = text.rpartition(":")
-        return host, int(port)
-
     try:
         peers = config.peers
     except ValueError as fault:
         raise ConfigError(f"bad configuration: {fault}") from None
     own = settings.own_network
-    listen = read(settings.listen) if settings.listen else None if own else peers.listen
+    listen = address_of(settings.listen) if settings.listen else None if own else peers.listen
     if listen is None:
         raise ConfigError("[fleet] has no `listen`, and the platform names no peer_listen")
-    address = read(settings.address) if settings.address else listen
+    address = address_of(settings.address) if settings.address else listen
     named = () if own else peers.all
     if config.settings.me < len(named) and not settings.address:
         address = numbered(config.settings.me)
-    return Place(listen, address, named, [read(text) for text in settings.members], settings.networks)
+    return Place(listen, address, named, [address_of(text) for text in settings.members], settings.networks)
 
 
 def record_of(config: Config, address: Address) -> Record:
--- a/granitepoint/fleet/wire.py
+++ b/granitepoint/fleet/wire.py
@@ -285,6 +285,11 @@
         self.room -= len(value) + 2
         return True
 
+    def probe(self, number: int) -> Writer:
+        """Begins with the number of a probe or question."""
+        self.add(Section.PROBE, number.to_bytes(4, "big"))
+        return self
+
     def said(self, said: Said) -> bool:
         if said.record is not None:
             return self.add(Section.RECORD, pack_record(said))
--- a/rigs/fleet/bed.py
+++ b/rigs/fleet/bed.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
 from random import Random
@@ -206,18 +206,12 @@
     def living(self) -> list[Member]:
         return [member for member in self.members if member.core is not None]
 
-    def equal(self, among: Iterable[Member] | None = None) -> bool:
-        """Whether all these have the same view, and it is right."""
-        cores = [member.core for member in (self.living if among is None else among)]
-        views = {core.table.digest for core in cores if core is not None}
-        return len(views) <= 1
-
     def right(self) -> bool:
+        """Whether all the living have the same view, and it is the living."""
         names = {key_of(member.name) for member in self.living}
-        return self.equal() and all(
-            set(member.core.table.entries) == names and not member.core.table.suspicions
-            for member in self.living
-            if member.core is not None
+        tables = [member.core.table for member in self.living if member.core is not None]
+        return len({table.digest for table in tables}) <= 1 and all(
+            set(table.entries) == names and not table.suspicions for table in tables
         )
 
     def states(self, of: int) -> dict[State, int]:
--- a/rigs/fleet/relay.py
+++ b/rigs/fleet/relay.py
@@ -14,7 +14,6 @@
 from rigs.fleet.network import Network
 
 HOSTS = 200  # members for each third byte
-BUFFER = 1 << 20  # bytes of datagrams that wait
 NOBODY = -1  # a sender that is no member
 
 
--- a/rigs/fleet/world.py
+++ b/rigs/fleet/world.py
@@ -20,6 +20,7 @@
 from granitepoint.fleet.guard import Seals
 from granitepoint.fleet.pages import Page, Row, question, read_page
 from granitepoint.fleet.wire import Malformed
+from granitepoint.net.listing import address as address_of
 from rigs.backend import Backend
 from rigs.callers import EFFECTS, Callers
 from rigs.fleet.network import Network
@@ -36,6 +37,7 @@
 CHANGE = re.compile(
     r"granitepoint\.fleet: change (\d+) at ([\d.]+): (\S+) (\w+) -> (\w+), (\S+), told by (\S+): (.*)"
 )
+KEY = "0123456789abcdef" * 4  # of fleets whose datagrams are sealed
 GARBAGE = 64  # bytes of a datagram of a storm
 
 
@@ -147,11 +149,11 @@
         at = await padron.start()
         self.padrons.append(padron)
         for number, nodo in enumerate(self.nodos):
-            pipe = Pipe(lambda nodo=nodo: split(nodo.address))  # type: ignore[misc]
+            pipe = Pipe(lambda nodo=nodo: address_of(nodo.address))  # type: ignore[misc]
             address = await pipe.start(f"127.79.{number}.{seat.number + 1}", self.http)
             seat.pipes.append(pipe)
             padron.put(entry(nodo.name, address, zone=nodo.zone))
-        pipe = Pipe(lambda: split(at))
+        pipe = Pipe(lambda: address_of(at))
         await pipe.start(f"127.79.250.{seat.number + 1}", self.http)
         seat.pipes.append(pipe)
         self.pipes += seat.pipes
@@ -195,7 +197,7 @@
         try:
             if self.setup.keys:
                 keys = seat.folder / "keys"
-                keys.write_text("k1 " + "0123456789abcdef" * 4 + "\n")
+                keys.write_text(f"k1 {KEY}\n")
                 keys.chmod(0o600)
             through: tuple[str, ...] = ("rigs.skew", "--steer", str(seat.folder / "clock"))
             if seat.number in self.setup.newer:
@@ -352,11 +354,6 @@
         self.relay.stop()
 
 
-def split(address: str) -> tuple[str, int]:
-    at, _, port = address.rpartition(":")
-    return at, int(port)
-
-
 class _Eye(asyncio.DatagramProtocol):
     def __init__(self, observer: Observer) -> None:
         self.observer = observer
@@ -373,7 +370,7 @@
 
     def __init__(self, world: World) -> None:
         self.world = world
-        self.seals = Seals([bytes.fromhex("0123456789abcdef" * 4)] if world.setup.keys else ())
+        self.seals = Seals([bytes.fromhex(KEY)] if world.setup.keys else ())
         self.transport: asyncio.DatagramTransport | None = None
         self.number = 0
         self.pages: dict[str, tuple[float, Page]] = {}
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -7,7 +7,8 @@
 import asyncio
 import json
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
 
 import pytest
 import uvloop
@@ -19,6 +20,7 @@
 from rigs.kit import until
 
 PATIENCE = 40.0  # s; what takes longer has failed
+T = TypeVar("T")
 Check = Callable[[World], Awaitable[None]]
 
 
@@ -26,6 +28,14 @@
     pass
 
 
+def bounded(work: Coroutine[Any, Any, T]) -> T:
+    async def test() -> T:
+        async with asyncio.timeout(4 * PATIENCE):
+            return await work
+
+    return asyncio.Runner(loop_factory=uvloop.new_event_loop).run(test())
+
+
 def play(setup: Setup, script: str = "", check: Check = nothing, end: Check = nothing) -> World:
     """A fleet that has settled; then the script's faults, `check` beside them, all equal again, and `end`."""
 
@@ -55,7 +65,7 @@
                 assert sum(callers.codes[200] for callers in w.callers) > 0
             return w
 
-    return asyncio.Runner(loop_factory=uvloop.new_event_loop).run(run())
+    return bounded(run())
 
 
 def says(w: World, name: str, text: str) -> bool:
@@ -118,7 +128,7 @@
             await w.quiet()
             assert w.audit() == []
 
-    asyncio.Runner(loop_factory=uvloop.new_event_loop).run(run())
+    bounded(run())
 
 
 def test_a_restart_within_the_suspicion_is_no_death() -> None:
@@ -194,7 +204,7 @@
             await w.quiet()
             assert w.audit() == []
 
-    asyncio.Runner(loop_factory=uvloop.new_event_loop).run(run())
+    bounded(run())
 
 
 def test_a_partition_that_flaps_each_second_kills_nobody() -> None:
@@ -272,7 +282,7 @@
             await until(lambda: player.over, "over", PATIENCE)
             await w.observer.settle(PATIENCE, True)
 
-    asyncio.Runner(loop_factory=uvloop.new_event_loop).run(run())
+    bounded(run())
 
 
 def test_staff_read_a_view_and_the_exit_code_says_whether_it_has_settled() -> None:
