--- a/granitepoint/fleet/base.py
+++ b/granitepoint/fleet/base.py
@@ -78,7 +78,7 @@
 class Probe:
     key: Key
     process: tuple[int, int]
-    asked: int = 0
+    helpers: frozenset[Key] = frozenset()  # that were asked
     nacks: int = 0
 
 
@@ -87,7 +87,6 @@
     address: Address
     number: int
     target: Key
-    target_address: Address
 
 
 @dataclass(slots=True)
@@ -115,14 +114,17 @@
         now: float,
         wall: float,
         seals: Seals | None = None,
+        everyone: Address | None = None,
     ) -> None:
-        """`seeds`: addresses at which others may be; its own among them is passed over."""
+        """`seeds`: addresses at which others may be; its own among them is passed over. `everyone`: one that
+        reaches all of the tier, where there is such a one."""
         self.fleet_name, self.fleet = fleet, fleet_id(fleet)
         self.random = Random(seed)
         self.timing = timing
         self.seals = seals or Seals()
         self.numbers = Numbers()
         self.seeds = [address for address in dict.fromkeys(seeds) if address != record.address]
+        self.everyone = everyone
         self.key = key_of(record.name)
         run = Incarnation(first_run(wall), self.random.randint(1, MOST_LIFE), 0)
         self.identity = Identity(record, run)
@@ -146,6 +148,7 @@
         self.walked_at = float("-inf")
         self.exchanges = 0  # questions that are left in this period
         self.joins = 0
+        self.calls = 0  # tries since it last asked everyone
         self.welcomed = False
         self.gossiping = False
         self.ring: list[Key] = []
@@ -193,9 +196,16 @@
     def alone(self) -> bool:
         return len(self.table) <= 1
 
+    @property
+    def may_have_company(self) -> bool:
+        """Whether it was told where others may be."""
+        return bool(self.seeds) or self.everyone is not None
+
     def settled(self) -> bool:
         """No change for a while, and all who were heard lately see the same."""
-        if self.standing is not Standing.MEMBER or self.table.suspicions or (self.alone and self.seeds):
+        if self.standing is not Standing.MEMBER or self.table.suspicions:
+            return False
+        if self.alone and self.may_have_company:
             return False
         if self.now - self.table.changed_at < QUIET * self.timing.period:
             return False
@@ -226,10 +236,7 @@
             self.notes.append(f"this process stood still for {late:.2f} s")
             self.timers = [(due + late, *rest) for due, *rest in self.timers]  # type: ignore[misc]
             heapq.heapify(self.timers)
-            for suspicion in self.table.suspicions.values():
-                suspicion.began += late
-                suspicion.due += late
-                suspicion.heard += late
+            self.table.shift(late)
             for heard in self.heard.values():
                 heard.at += late
             self.probes.clear()
--- a/granitepoint/fleet/core.py
+++ b/granitepoint/fleet/core.py
@@ -200,7 +200,7 @@
         """One claim, from whoever told it."""
         teller = message.sender
         if said.key == self.key:
-            self._hear_of_self(said, message, source)
+            self._hear_of_self(said, message)
             return
         accuser = self._name(said.accuser) if said.accuser else ""
         reason = f"does not answer {accuser}" if said.claim is Claim.SUSPECT and accuser else ""
--- a/granitepoint/fleet/joining.py
+++ b/granitepoint/fleet/joining.py
@@ -10,6 +10,7 @@
 from granitepoint.fleet.entries import (
     Address,
     Claim,
+    Key,
     shown,
 )
 from granitepoint.fleet.identity import Standing
@@ -17,6 +18,8 @@
 from granitepoint.fleet.states import State
 from granitepoint.fleet.timing import (
     ALONE_AFTER,
+    ANSWERS,
+    EVERYONE_EVERY,
     FANOUT,
     JOIN_TO,
     RETRY_EVERY,
@@ -28,7 +31,7 @@
     def _timed(self) -> dict[str, Callable[[int, bytes], None]]:
         return {
             **super()._timed(), "join": self._join, "retry": self._retry, "contest": self._contest,
-            "say": self._say_now,
+            "say": self._say_now, "introduce": self._introduce,
         }  # fmt: skip
 
     # what it says of itself
@@ -68,13 +71,13 @@
             self.retrying = True
             self._set(self.random.uniform(0.5, 1) * RETRY_EVERY * self.timing.period, "retry")
 
-    def _hear_of_self(self, said: Said, message: Datagram, source: Address) -> None:
+    def _hear_of_self(self, said: Said, message: Datagram) -> None:
         mine = self.incarnation
         if said.incarnation.process == mine.process:
             if said.claim is Claim.ALIVE or self.standing is not Standing.MEMBER:
                 return
-            if said.incarnation < mine:  # it was denied, and who says it has not heard that
-                self._correct(self.key, source, message.size)
+            if said.incarnation < mine:
+                self._outdated(message.sender)
                 return
             self.identity.renew(said.incarnation)
             self._claim(f"denies what {self._name(said.accuser or message.sender)} says")
@@ -90,6 +93,29 @@
             self._set(0.0, "contest", 0)
         elif what == "conflict":
             self._conflict(address)
+        elif said.incarnation < mine and self.standing is Standing.MEMBER:
+            self._outdated(message.sender)
+
+    def _outdated(self, teller: Key) -> None:
+        """What holds is told to who says something old of this member. By a timer, since it may be longer
+        than what came, and to where the view has the teller."""
+        self.corrections -= 1
+        if self.corrections >= 0 and teller in self.table.entries:
+            self._set(0.0, "introduce", 0, teller)
+
+    def _introduce(self, number: int, key: bytes) -> None:
+        held = self.table.entries.get(key)
+        if held is not None and self.standing is Standing.MEMBER:
+            self._call_on(held.record.address)
+
+    def _call_on(self, address: Address, dead: Key = b"") -> None:
+        """A ping with this member's whole record, and with what the view holds of who was there."""
+        writer = Writer().probe(self._question())
+        if dead:
+            writer.said(sync.about(self.table, dead, self.key))
+        writer.said(said_of(self.table.entries[self.key]))
+        self._pad(writer)
+        self._send(address, Kind.PING, writer)
 
     # joining
     def _join(self, number: int, key: bytes) -> None:
@@ -99,24 +125,33 @@
             return
         if self.standing is not Standing.JOINING:
             return
-        if self.welcomed or not self.seeds or self.joins >= ALONE_AFTER:
-            if not self.welcomed and self.seeds:
+        if self.welcomed or not self.may_have_company or self.joins >= ALONE_AFTER:
+            if not self.welcomed and self.may_have_company:
                 self.notes.append("nobody answers: goes on alone, and goes on asking")
             self._become_member()
             return
         self.joins += 1
         for address in self.random.sample(self.seeds, min(JOIN_TO, len(self.seeds))):
             self._knock(address)
+        if self.everyone is not None and (not self.seeds or self.joins == ALONE_AFTER):
+            self._knock(self.everyone, everyone=True)  # the last resort: it costs each member a datagram
         self._set(self.timing.period * self.random.uniform(0.75, 1.25), "join")
 
-    def _knock(self, address: Address) -> None:
+    def _knock(self, address: Address, everyone: bool = False) -> None:
         writer = Writer()
         writer.add(Section.NAME, self.record.name.encode())
+        if everyone:
+            writer.add(Section.EVERYONE, b"")
         self._pad(writer)
         self._send(address, Kind.JOIN, writer)
 
     def _welcome(self, message: Datagram, source: Address) -> None:
-        """Who asks is told who holds its name, who this is, and some who live. It is no member by that."""
+        """Who asks is told who holds its name, who this is, and some who live. It is no member by that. Of
+        those who were asked all at once, some answer."""
+        if message.one(Section.EVERYONE) is not None:
+            others = max(1, len(self.table) - 1)
+            if self.random.random() >= ANSWERS / others:
+                return
         writer = Writer(message.size)
         held = self.table.held(message.sender)
         if held is not None:
@@ -136,6 +171,11 @@
             self.joins, self.welcomed = 0, False
             self._set(0.0, "join")
             return
+        if self.everyone is not None and self.alone:
+            self.calls += 1
+            if self.calls >= EVERYONE_EVERY:
+                self.calls = 0
+                self._knock(self.everyone, everyone=True)
         if not self.retries and (self.table.dead or self.seeds):
             used = {held.record.address for held in self.table.entries.values()}
             dead = [g.entry.record.address for g in self.table.gone.values() if g.state is State.DEAD]
@@ -150,12 +190,7 @@
                 for gone in self.table.gone.values()
                 if gone.state is State.DEAD and gone.entry.record.address == address
             ]
-            writer = Writer().probe(self._question())
-            for dead_key in dead_there[:1]:
-                writer.said(sync.about(self.table, dead_key, self.key))
-            writer.said(said_of(self.table.entries[self.key]))
-            self._pad(writer)
-            self._send(address, Kind.PING, writer)
+            self._call_on(address, dead_there[0] if dead_there else b"")
 
     # namesakes
     def _namesake(self, kind: Kind, message: Datagram, source: Address) -> None:
--- a/granitepoint/fleet/probing.py
+++ b/granitepoint/fleet/probing.py
@@ -93,7 +93,7 @@
         if probe is None or held is None:
             return
         helpers = self._draw(HELPERS, (probe.key,))
-        probe.asked = len(helpers)
+        probe.helpers = frozenset(helpers)
         for helper in helpers:
             writer = Writer().probe(number)
             writer.add(Section.TARGET, probe.key + wire.pack_address(held.record.address))
@@ -107,9 +107,9 @@
         held = self.table.entries.get(probe.key)
         if held is None or held.incarnation.process != probe.process:
             return
-        missing = max(0, probe.asked - probe.nacks)
+        missing = max(0, len(probe.helpers) - probe.nacks)
         # Helpers that say nothing, either: the fault may be here (Lifeguard, 4.1).
-        self._unwell(1 if missing or not probe.asked else 0)
+        self._unwell(1 if missing or not probe.helpers else 0)
         said = Said(probe.key, held.incarnation, Claim.SUSPECT, held.phase, held.word, self.key)
         step = self.table.hear(self.now, said, self.key, f"does not answer {self.record.name}")
         if step in (Step.SUSPICION, Step.CONFIRM):
@@ -139,21 +139,19 @@
         relay = self.relays.pop(number, None)
         if relay is not None:
             if message.sender == relay.target:
-                writer = Writer().probe(relay.number)
-                writer.add(Section.TARGET, relay.target + wire.pack_address(relay.target_address))
-                writer.add(Section.HEARD, message.one(Section.HEARD) or b"\x00")
+                writer = Writer(message.size).probe(relay.number)
+                writer.add(Section.HEARD, message.one(Section.HEARD) or b"")
                 self._send(relay.address, Kind.ACK, writer)
             return
         probe = self.probes.get(number)
         if probe is None:
             return
-        target = message.one(Section.TARGET)
-        if target is None and message.sender == probe.key:
+        if message.sender == probe.key:
             if message.incarnation.process == probe.process:
                 del self.probes[number]
                 self._unwell(-1)
                 self._reached(probe.key, "")
-        elif target is not None and target[:6] == probe.key:
+        elif message.sender in probe.helpers:
             del self.probes[number]
             lately = self._just_heard(probe.key)
             hears_us = message.one(Section.HEARD) == b"\x01"
@@ -184,7 +182,7 @@
         if held is None or held.record.address != address or message.sender not in self.table.entries:
             return  # only who is known is asked, for who is known
         mine = self._question()
-        self.relays[mine] = Relay(source, number, key, address)
+        self.relays[mine] = Relay(source, number, key)
         writer = Writer(message.size).probe(mine)
         writer.add(Section.ORIGIN, message.sender)
         self._pad(writer, ROOM_FOR_TWO)
--- a/granitepoint/fleet/table.py
+++ b/granitepoint/fleet/table.py
@@ -156,6 +156,15 @@
         self._go(now, old, after)
         self._changed(now, old, State.SUSPECT, after, reason, teller)
 
+    def shift(self, late: float) -> None:
+        """So many seconds passed that this process had no part in: nothing ages by them."""
+        for suspicion in self.suspicions.values():
+            suspicion.began += late
+            suspicion.due += late
+            suspicion.heard += late
+        for key, gone in self.gone.items():
+            self.gone[key] = Gone(gone.entry, gone.state, gone.at + late)
+
     def forget(self, now: float) -> None:
         """Who went longer ago than the memory lasts."""
         until = now - self.timing.memory
--- a/granitepoint/fleet/transport.py
+++ b/granitepoint/fleet/transport.py
@@ -69,7 +69,9 @@
         peers: Sequence[Address],
         members: Sequence[Address],
         networks: Sequence[str],
+        everyone: Address | None = None,
     ) -> None:
+        self.everyone = everyone
         self.listen, self.address = listen, address
         self.to = {numbered(number): peer for number, peer in enumerate(peers)}
         self.of = {peer: called for called, peer in self.to.items()}
@@ -104,7 +106,8 @@
     named = () if own else peers.all
     if config.settings.me < len(named) and not settings.address:
         address = numbered(config.settings.me)
-    return Place(listen, address, named, [address_of(text) for text in settings.members], settings.networks)
+    members = [address_of(text) for text in settings.members]
+    return Place(listen, address, named, members, settings.networks, None if own else peers.everyone)
 
 
 def record_of(config: Config, address: Address) -> Record:
@@ -142,6 +145,7 @@
             clock.now(),
             clock.wall(),
             Seals(keys),
+            self.place.everyone,
         )
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
--- a/granitepoint/fleet/wire.py
+++ b/granitepoint/fleet/wire.py
@@ -34,6 +34,7 @@
     PAGE     4   first row 2, number of the question 2
     TOTAL   ..   of a page: rows 2, living 2, dead 2, left 2, changes 4, bits 1, instances 2, fleet's name
     ROW     ..   of a page: a RECORD behind its length, then state 1, reach 1, tenths 1, list 3, ms ago 4
+    EVERYONE 0   this JOIN went to all of the tier: some answer
 """
 
 from __future__ import annotations
@@ -114,6 +115,7 @@
     PAGE = 13
     TOTAL = 14
     ROW = 15
+    EVERYONE = 16
 
 
 @dataclass(frozen=True, slots=True)
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -40,7 +40,12 @@
         listen, named = self.raw.get("peer_listen"), self.raw.get("peers") or []
         if not isinstance(named, list):
             raise ValueError("peers is no list")
-        return Peers(address(listen) if listen else None, tuple(address(item) for item in named))
+        everyone = self.raw.get("peers_all")
+        return Peers(
+            address(listen) if listen else None,
+            tuple(address(item) for item in named),
+            address(everyone) if everyone else None,
+        )
 
     @property
     def tier(self) -> str:
@@ -56,6 +61,7 @@
 
     listen: Address | None
     all: tuple[Address, ...]  # one for each proxy of the tier, its own among them
+    everyone: Address | None = None  # one that reaches all of these
 
 
 def flatten(value: object, path: str = "", into: dict[str, str] | None = None) -> dict[str, str]:
--- a/rigs/fleet/bed.py
+++ b/rigs/fleet/bed.py
@@ -21,6 +21,7 @@
 from rigs.fleet.network import Network
 
 WALL = 1_764_633_600.0  # s since 1970 at the start of a run
+EVERYONE = "10.255.255.255", 7946  # reaches all
 MAKE = Callable[..., Core]
 
 
@@ -54,7 +55,10 @@
         make: MAKE = Core,
         zones: int = 3,
         seals: Seals | None = None,
+        named: bool = True,
     ) -> None:
+        """`named`: each knows the others' addresses; else only the one that reaches all."""
+        self.named = named
         self.timing, self.seed, self.make, self.seals = timing, seed, make, seals
         self.random = Random(seed)
         self.network = network or Network(seed)
@@ -110,11 +114,12 @@
     def _send(self, sender: int, address: Address, data: bytes) -> None:
         self.datagrams += 1
         self.bytes += len(data)
-        receiver = self.at.get(address)
-        if receiver is None:
-            return
-        for wait, sent in self.network.carry(sender, receiver, data, self.now):
-            self.call(self.now + wait, self._arrive, receiver, address_of(sender), sent)
+        to = range(len(self.members)) if address == EVERYONE else (self.at.get(address),)
+        for receiver in to:
+            if receiver is None or (address == EVERYONE and receiver == sender):
+                continue
+            for wait, sent in self.network.carry(sender, receiver, data, self.now):
+                self.call(self.now + wait, self._arrive, receiver, address_of(sender), sent)
 
     def _arrive(self, receiver: int, source: Address, data: bytes) -> None:
         member = self.members[receiver]
@@ -134,12 +139,13 @@
         if name:
             member.name = name
         record = Record(member.name, address_of(number), "portal", f"z{number % self.zones}")
-        seeds = [address_of(other) for other in range(len(self.members))]
+        seeds = [address_of(other) for other in range(len(self.members))] if self.named else []
         wall = WALL + self.now + member.wall
         seed = hash_of(self.seed, number, member.lives)
         member.core = self.make(
-            "fleet", record, seeds, self.timing, seed, self._reading(member), wall, self.seals
-        )
+            "fleet", record, seeds, self.timing, seed, self._reading(member), wall, self.seals,
+            None if self.named else EVERYONE,
+        )  # fmt: skip
         member.core.phase = Phase.SERVING
         member.stopped, member.inbox, member.woken = False, [], -1.0
         self._after(member)
--- a/tests/fleet/test_bed.py
+++ b/tests/fleet/test_bed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import pytest
 
 from granitepoint.fleet.core import Core
@@ -15,6 +17,7 @@
 from rigs.fleet.network import Weather
 
 TIMING = Timing(period=1.0)
+Take = Callable[[Core, float, tuple[str, int], bytes], None]
 
 
 def core(member: Member) -> Core:
@@ -318,3 +321,79 @@
     bed.run(bed.now + 60.0)
     assert [change for _, change in seen if change.after is State.SUSPECT]
     assert not [change for _, change in seen if change.after is State.DEAD]
+
+
+def test_who_remembers_a_predecessor_as_dead_is_told_of_its_successor() -> None:
+    """A process that joined anew on its side of a partition; the others know only that another died."""
+    bed = grown(5)
+    bed.kill(2)
+    until(bed, lambda: bed.states(2) == {State.DEAD: 4}, 12)
+    others = [core(m).table for m in bed.members if m.number != 2]
+    memory = {id(table): dict(table.gone) for table in others}
+    bed.start(2)
+    until(bed, bed.right, 12)
+    bed.run(bed.now + 15)  # all gossip is over
+    for table in others:  # as if none of them had ever heard the new one
+        entry = table.entries[key_of("p2")]
+        table._go(bed.now, entry, State.DEAD)
+        table.gone = memory[id(table)]
+    bed.run(bed.now + 12)
+    assert bed.right()
+
+
+def test_a_clock_that_leaps_ahead_does_not_make_the_dead_forgotten() -> None:
+    bed = grown(6)
+    bed.kill(1)
+    until(bed, bed.right, 12)
+    before = bed.members[3]
+    bed.turn_clock(3, monotonic=3600.0)
+    bed.run(bed.now + 3)
+    assert core(before).table.state(key_of("p1")) is State.DEAD
+
+
+def test_no_member_ever_answers_with_more_than_came() -> None:
+    """Through joins, a cut, losses, a crash and a restart; also who answers in another's stead."""
+    bed = Bed(8, TIMING, 2)
+    longer: list[tuple[int, int, int]] = []
+    kinds: set[int] = set()
+    for number in range(8):
+        bed.start(number)
+
+        def measured(
+            now: float, source: tuple[str, int], data: bytes, number: int = number, take: Take = Core.datagram
+        ) -> None:
+            heard = core(bed.members[number])
+            before = len(heard.out)
+            take(heard, now, source, data)
+            kinds.add(data[1])
+            sizes = [len(out) for _, out in heard.out[before:]]
+            longer.extend((data[1], len(data), size) for size in sizes if size > len(data))
+
+        core(bed.members[number]).datagram = measured  # type: ignore[method-assign]
+    bed.network.cut([2], [5])
+    bed.call(8.0, bed.kill, 1)
+    bed.call(16.0, bed.start, 1)
+    bed.run(10.0)
+    bed.network.everywhere = Weather(loss=0.2)
+    bed.run(30.0)
+    assert Kind.ASK in kinds and Kind.RECORDS in kinds and Kind.WELCOME in kinds
+    assert longer == []
+
+
+def test_who_knows_only_the_address_of_all_finds_the_others_at_once_and_later() -> None:
+    bed = Bed(30, TIMING, 3, named=False)
+    bed.start(7)
+    bed.run(20)
+    assert core(bed.members[7]).alone and not core(bed.members[7]).settled()
+    for number in range(30):
+        if number != 7:
+            bed.start(number)
+    until(bed, bed.right, 25)
+    before = bed.datagrams
+    bed.kill(7)
+    until(bed, bed.right, 25)
+    counted: list[bytes] = []
+    bed.network.seen = lambda data: counted.append(data) if data[1] == Kind.WELCOME else None
+    bed.start(7)
+    until(bed, bed.right, 20)
+    assert bed.datagrams > before and 1 <= len(counted) <= 24  # some answer, not all
--- a/tests/fleet/test_transport.py
+++ b/tests/fleet/test_transport.py
@@ -15,6 +15,7 @@
 from granitepoint.fleet.entries import key_of
 from granitepoint.fleet.identity import Standing
 from granitepoint.fleet.transport import Fleet, numbered, pack_words, unpack_words
+from granitepoint.fleet.wire import Kind
 from granitepoint.net.config import Config, ConfigError, read_config
 from granitepoint.operator import Fleet as Settings
 from granitepoint.operator import OperatorError
@@ -158,3 +159,26 @@
     assert (two.code, two.line) == ("F311", 2)
     [clocks] = check([files["a"], files["c"]], "")
     assert (clocks.code, clocks.line, clocks.instead) == ("F312", 5, "write period = 1")
+
+
+def test_where_only_the_address_of_all_is_configured_it_is_asked() -> None:
+    async def test() -> None:
+        class Asked(asyncio.DatagramProtocol):
+            def datagram_received(self, data: bytes, addr: Any) -> None:
+                kinds.append(data[1])
+
+        kinds: list[int] = []
+        loop = asyncio.get_running_loop()
+        asked, _ = await loop.create_datagram_endpoint(Asked, local_addr=("127.0.0.1", 0))
+        everyone = ":".join(map(str, asked.get_extra_info("sockname")))
+        made = Fleet(
+            Settings("portal", period=0.1), config(True, peer_listen="127.0.0.1:0", peers_all=everyone),
+            Driver(), Clock(),
+        )  # fmt: skip
+        made.start()
+        await until(lambda: Kind.JOIN in kinds, "asked")
+        assert not made.settled
+        made.stop()
+        asked.close()
+
+    asyncio.run(test())
