--- a/granitepoint/recovery/keeper.py
+++ b/granitepoint/recovery/keeper.py
@@ -11,6 +11,7 @@
 import logging
 import threading
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from granitepoint.clock import Clock
 from granitepoint.recovery.facts import Fact, State, drop, put
@@ -176,7 +177,7 @@
             self.replaced = True
         store = self.make(self.folder, self.owner)
         self.store = store
-        store.begin(Found(self.found.state.copy(), self.found.generation), self.clock.wall())
+        store.begin(replace(self.found, state=self.found.state.copy()), self.clock.wall())
         return True
 
     @property
--- a/granitepoint/recovery/store.py
+++ b/granitepoint/recovery/store.py
@@ -87,6 +87,7 @@
     """What a folder holds."""
 
     state: State = field(default_factory=State)
+    owner: Owner = field(default_factory=lambda: Owner(""))
     generation: int = 0  # 0: nothing was there
     at: float = 0.0  # wall time of the newest file's beginning
     torn: int = 0  # bytes of a record that was being written
@@ -124,6 +125,7 @@
             found.damaged.append(f"{name} is not whole")
             continue
         whole = True
+        found.owner = Owner(str(head.get("name", "")), str(head.get("machine", "")))
         found.snapshot_bytes = len(data)
         found.at = max(found.at, float(head.get("at", 0.0)))
         _replay(found, read.records[1:-1], int(head["format"]), name)
