--- a/granitepoint/recovery/__main__.py
+++ b/granitepoint/recovery/__main__.py
@@ -62,7 +62,8 @@
 
 def show(path: Path, loss: Loss, zone: str, whole: bool, as_json: bool, now: float) -> int:
     found = read(path)
-    situation = Situation(now, loss, zone, found.state.newest, bool(found.damaged))
+    lost = frozenset({zone}) if loss is Loss.ZONE else frozenset()
+    situation = Situation(now, loss, lost, found.state.newest, bool(found.damaged))
     if as_json:
         print(json.dumps(
             {
--- a/granitepoint/recovery/trust.py
+++ b/granitepoint/recovery/trust.py
@@ -105,12 +105,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Situation:
-    """`now`: wall, s; `seen`: the latest time that anything trustworthy has said (a store's newest fact,
-    members); `damaged`: some of what was safe is lost."""
+    """`now`: wall, s; `lost`: salas that lost power, where not all did; `seen`: the latest time that anything
+    trustworthy has said (a store's newest fact, members); `damaged`: some of what was safe is lost."""
 
     now: float
     loss: Loss
-    zone: str = ""
+    lost: frozenset[str] = frozenset()
     seen: float = 0.0
     damaged: bool = False
     stale: bool = False  # the store is older than this name's last process, as others knew it
@@ -144,9 +144,7 @@
 
 def cold(zone: str, situation: Situation) -> bool:
     """Whether a server of this zone is cold whatever a list says of its start."""
-    if situation.loss in (Loss.FLEET, Loss.UNKNOWN):
-        return True
-    return situation.loss is Loss.ZONE and zone == situation.zone
+    return situation.loss in (Loss.FLEET, Loss.UNKNOWN) or zone in situation.lost
 
 
 class Repeat(Enum):
@@ -165,6 +163,6 @@
         return Repeat.FORGOTTEN
     if not fact.group or not believed or situation.loss in (Loss.FLEET, Loss.UNKNOWN):
         return Repeat.NEVER
-    if situation.loss is Loss.ZONE and fact.group in ("all", situation.zone):
+    if fact.group in situation.lost or (situation.lost and fact.group == "all"):
         return Repeat.NEVER
     return Repeat.IN_GROUP
--- a/tests/recovery/test_trust.py
+++ b/tests/recovery/test_trust.py
@@ -25,6 +25,7 @@
 from granitepoint.recovery.trust import TABLE, Loss, Repeat, Situation, Trust, cold, judge, repeat
 
 NOW = 1_800_000_000.0
+A = frozenset("a")
 
 
 def all_facts(at: float) -> list[Fact]:
@@ -46,7 +47,7 @@
     order = [Trust.IGNORED, Trust.HINT, Trust.TRUSTED]
     for seen in (0.0, NOW, NOW + 3600):
         for stale in (False, True):
-            situation = Situation(NOW, loss, "a", seen, stale=stale)
+            situation = Situation(NOW, loss, A, seen, stale=stale)
             for fact in all_facts(NOW - age):
                 trust = judge(fact, situation).trust
                 if isinstance(fact, Maintenance | Keyed):
@@ -60,7 +61,7 @@
                 if isinstance(fact, Server) and (stale or age or loss is not Loss.PROCESS):
                     assert trust is Trust.HINT  # an address, to be probed
                 # What can't be told is held for the worst.
-                unknown = judge(fact, Situation(NOW, Loss.UNKNOWN, "a", seen, stale=stale)).trust
+                unknown = judge(fact, Situation(NOW, Loss.UNKNOWN, A, seen, stale=stale)).trust
                 assert order.index(unknown) <= order.index(trust) or trust is unknown
 
 
@@ -71,21 +72,25 @@
         Loss.FLEET: Repeat.NEVER, Loss.UNKNOWN: Repeat.NEVER,
     }  # fmt: skip
     for loss, expected in cases.items():
-        assert repeat(fact, Situation(NOW, loss, "a")) is expected
-        assert repeat(fact, Situation(NOW + 6, loss, "a")) is Repeat.FORGOTTEN
+        lost = A if loss is Loss.ZONE else frozenset()
+        assert repeat(fact, Situation(NOW, loss, lost)) is expected
+        assert repeat(fact, Situation(NOW + 6, loss, lost)) is Repeat.FORGOTTEN
         # A clock that can't be believed ends nothing.
-        assert repeat(fact, Situation(NOW + 6, loss, "a", NOW + 3600)) is Repeat.NEVER
-        assert repeat(fact, Situation(0.0, loss, "a")) is Repeat.NEVER
-    assert repeat(fact, Situation(NOW, Loss.ZONE, "b")) is Repeat.IN_GROUP
+        assert repeat(fact, Situation(NOW + 6, loss, lost, NOW + 3600)) is Repeat.NEVER
+        assert repeat(fact, Situation(0.0, loss, lost)) is Repeat.NEVER
+    assert repeat(fact, Situation(NOW, Loss.ZONE, frozenset("b"))) is Repeat.IN_GROUP
+    shared = Keyed("reserva", "all", NOW - 1, NOW + 5)
+    assert repeat(shared, Situation(NOW, Loss.PROCESS, frozenset("b"))) is Repeat.NEVER
     assert repeat(Keyed("canje", "", NOW, NOW + 5), Situation(NOW, Loss.PROCESS)) is Repeat.NEVER
 
 
 def test_after_a_loss_servers_are_cold_whatever_a_list_says() -> None:
-    told = {loss: tuple(cold(zone, Situation(NOW, loss, "a")) for zone in "ab") for loss in Loss}
+    told = {loss: tuple(cold(zone, Situation(NOW, loss, A)) for zone in "ab") for loss in Loss}
     assert told == {
-        Loss.PROCESS: (False, False), Loss.MACHINE: (False, False), Loss.ZONE: (True, False),
+        Loss.PROCESS: (True, False), Loss.MACHINE: (True, False), Loss.ZONE: (True, False),
         Loss.FLEET: (True, True), Loss.UNKNOWN: (True, True),
     }  # fmt: skip
+    assert not cold("a", Situation(NOW, Loss.PROCESS))
 
 
 def test_the_command_shows_verifies_and_forgets(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
