recovery: wired into the proxy, off without its table; power losses on real processes

After a start each proxy asks the others what they say of themselves (a survivor's own answer, not what the view still tells of a member lost a moment ago, which took a sala's loss for one machine's end), and goes dark, gathering, provisional, ramp, steady. Lists hold cold what lost power and give each proxy its turn; a list that names hardly anybody is not believed meanwhile; refusals spread the returns; keyed requests are noted, and one that may have run before a loss is answered 504. The module gains ServerEntry.not_before. Where probes are cheap it asks only for calls, so a dark proxy found no server in 39 s: recovery asks by itself. Four tests of six processes each: everybody, a sala, one after another, all proxies and no machine.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -82,6 +82,7 @@
             websocket=operator.websocket,
             fleet=operator.fleet,
             fleet_keys=fleet_keys(operator),
+            recovery=operator.recovery,
         )
         file = operator.file
     loop.add_signal_handler(signal.SIGHUP, reload, proxy, file)  # before it is ready, for good
--- a/granitepoint/assembly.py
+++ b/granitepoint/assembly.py
@@ -17,7 +17,7 @@
 from granitepoint.net.config import Config
 from granitepoint.net.driver import Driver
 from granitepoint.net.limits import MOST_LENGTH
-from granitepoint.net.listing import Address
+from granitepoint.net.listing import Address, Listing
 from granitepoint.net.server import Server
 
 if TYPE_CHECKING:
@@ -31,6 +31,8 @@
     from granitepoint.operator import Budgets as BudgetSettings
     from granitepoint.operator import Fleet as FleetSettings
     from granitepoint.operator import Membership, Operator, Registration, WebSocket
+    from granitepoint.operator import Recovery as RecoverySettings
+    from granitepoint.recovery.service import Recovery
     from granitepoint.websocket.front import Front
 
 log = logging.getLogger("granitepoint")
@@ -70,6 +72,7 @@
         websocket: WebSocket | None = None,
         fleet: FleetSettings | None = None,
         fleet_keys: Sequence[bytes] = (),
+        recovery: RecoverySettings | None = None,
     ) -> None:
         """`called`: the tier's name, where budgets are on and it is known. Raises ConfigError where the
         list that it is to begin with can't be used, or where the fleet can't be met as the settings are."""
@@ -80,8 +83,18 @@
 
             config = sized(config, websocket)
         self.operations = operations_of(config)
-        overlay = self.operations.maintenance.overlay if self.operations is not None else None
-        self.driver = Driver(config, outer_filters(budgets, called, config), overlay)
+        self.recovery = recovery_of(recovery, config) if recovery is not None else None
+        overlays = []
+        if self.recovery is not None:
+            overlays.append(self.recovery.overlay)
+        if self.operations is not None:
+            overlays.append(self.operations.maintenance.overlay)
+            if self.recovery is not None:
+                self.operations.maintenance.restore(self.recovery.kept_out)
+                self.recovery.lists.out = frozenset()  # staff put it back by the console
+        self.driver = Driver(
+            config, outer_filters(budgets, called, config, self.recovery), chained(overlays)
+        )
         self.subsystems: list[Subsystem] = []
         if membership is not None:
             from granitepoint.membership.source import Membership as Source
@@ -101,11 +114,23 @@
         self.fleet = fleet_of(fleet, config, self.driver, fleet_keys) if fleet is not None else None
         if self.fleet is not None:
             self.subsystems.append(self.fleet)
+        if self.recovery is not None:
+            self._attach(self.recovery)
         self.front: Front | None = None
         if websocket is not None:
             self.front = Front(websocket, whole, self.driver, self.server)
             self.subsystems.append(self.front)
 
+    def _attach(self, recovery: Recovery) -> None:
+        operations, driver = self.operations, self.driver
+        after = operations.maintenance.overlay if operations is not None else lambda listing: listing
+        fleet = self.fleet  # view, channel and word
+        recovery.attach(driver, lambda listing: driver.in_force(after(listing)), fleet, fleet, fleet)
+        if operations is not None:
+            recovery.maintained = lambda: operations.maintenance.out
+        driver.witness, driver.advise = recovery.witness, recovery.advise
+        self.subsystems.append(recovery)
+
     async def start(self) -> None:
         """Raises OSError where it can't listen."""
         self.driver.start()
@@ -184,6 +209,28 @@
     return Fleet(settings, config, driver, Clock(), keys)
 
 
+def recovery_of(settings: RecoverySettings, config: Config) -> Recovery:
+    from granitepoint.clock import Clock
+    from granitepoint.recovery.service import Recovery
+
+    # A line for each phase, and for what is wrong with the store.
+    logging.getLogger("granitepoint.recovery").setLevel(logging.INFO)
+    return Recovery(settings, config, Clock())
+
+
+def chained(overlays: Sequence[Callable[[Listing], Listing]]) -> Callable[[Listing], Listing] | None:
+    """What acts on lists, in this order: what is known of a loss, then the staff's word."""
+    if len(overlays) < 2:
+        return overlays[0] if overlays else None
+
+    def overlay(listing: Listing) -> Listing:
+        for each in overlays:
+            listing = each(listing)
+        return listing
+
+    return overlay
+
+
 def fleet_keys(operator: Operator) -> list[bytes]:
     """The fleet's datagrams are sealed where there is a key file, the budgets'. Raises OperatorError."""
     if operator.fleet is None or operator.budgets is None:
@@ -193,14 +240,17 @@
     return list(read_keys(operator.budgets.keys_file).values())
 
 
-def outer_filters(budgets: Budgets | None, called: str, config: Config) -> tuple[Filter, ...]:
+def outer_filters(
+    budgets: Budgets | None, called: str, config: Config, recovery: Recovery | None = None
+) -> tuple[Filter, ...]:
     """What acts on a call before the module, in this order."""
+    first: tuple[Filter, ...] = () if recovery is None else (recovery,)
     if budgets is None:
-        return ()
+        return first
     from granitepoint.budgets.calls import OuterFilter
 
     classes = {cls.name: cls for cls in config.settings.classes}
-    return (OuterFilter(budgets, called, classes, config.settings.max_attempts),)
+    return (*first, OuterFilter(budgets, called, classes, config.settings.max_attempts),)
 
 
 def inner_filters(budgets: Budgets | None, classes: dict[str, RequestClass]) -> tuple[Filter, ...]:
--- a/granitepoint/budgets/calls.py
+++ b/granitepoint/budgets/calls.py
@@ -142,6 +142,7 @@
     """A request that the application has, or is about to."""
 
     attempts = 0
+    stops = True
 
     def __init__(
         self, filter: InnerFilter, request: Request, account: Account, cls: RequestClass, told: bool
@@ -236,6 +237,8 @@
 class OuterTicket:
     """A call towards a tier, with its account."""
 
+    stops = True
+
     def __init__(
         self, filter: OuterFilter, request: Request, account: Account, cls: RequestClass,
         give_up: Callable[[], None],
--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -204,6 +204,7 @@
     weight: float = 1.0
     started_at: float = 0.0  # 0: long ago
     wanted: bool = False  # somebody put it back by hand and waits to see it in use
+    not_before: float = 0.0  # nothing is sent to it before
 
 
 @dataclass(slots=True)
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -418,6 +418,7 @@
         self.hint, self.started_at = max(entry.weight, 1e-3), entry.started_at
         self.ramp_from = entry.started_at
         self.wanted = entry.wanted  # it is owed a call
+        self.not_before = entry.not_before
 
     def fresh(self) -> None:
         """Forget what was learned: the process is another one."""
@@ -554,6 +555,8 @@
     def usable(self, server: Server, now: float) -> bool:
         if server.state is not ServerState.SERVING or server.ejected_until:
             return False
+        if now < server.not_before:
+            return False
         if server.trial and server.out:
             return False
         if server.out >= server.most_out and now < server.most_out_until:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -105,7 +105,9 @@
         self.calls: dict[int, OpenCall] = {}
         self.out: dict[int, Exchange] = {}  # attempts, by call: also of calls whose caller has left
         self.ids: set[bytes] = set()  # of the calls in the table, and of attempts still out
-        self.calls_taken = 0
+        self.calls_taken = self.calls_answered = 0
+        self.witness: Callable[[int, api.Status], None] | None = None  # sees the end of attempts and probes
+        self.advise: Callable[[float], float] | None = None  # has the last word on the wait of a refusal
         self.probes = 0
         self.tunnels = 0  # further connections to backends that upgraded requests may hold
         self.events: list[api.Event] = []
@@ -222,6 +224,11 @@
         """So many proxies stand before these servers, itself among them."""
         self._push(api.Instances(count))
 
+    @property
+    def held(self) -> int:
+        """Calls that are open."""
+        return len(self.calls)
+
     @property
     def load(self) -> float:
         """Calls in flight, of what it may hold."""
@@ -266,7 +273,7 @@
         if self.filters:
             turned = self._filter(call, narrowed)
             if turned is not None:
-                reply.answer(503, (), turned.text)
+                reply.answer(turned.code, turned.headers, turned.text)
                 return None
             deadline = min(deadline, call.deadline)
         self.calls[number] = call
@@ -331,7 +338,8 @@
             request = call.request
             if request.switch is not None:
                 request.switch.dropped()
-            if exchange is not None and (call.tickets or not request.body.whole or request.switch):
+            stops = any(ticket.stops for ticket in call.tickets)
+            if exchange is not None and (stops or not request.body.whole or request.switch):
                 # What knows of budgets stops working for it; the rest will never come; nobody takes a 101.
                 exchange.cancel()
 
@@ -431,6 +439,8 @@
         assert status is not None
         call.exchange = None
         self.out.pop(call.number, None)
+        if self.witness is not None:
+            self.witness(server, status)
         for ticket in call.tickets:
             ticket.returned(exchange, status)
         if status not in api.NEVER_RAN:
@@ -441,6 +451,7 @@
         if not call.open:
             self.ids.discard(call.request.id)
         elif status is api.Status.OK:
+            self.calls_answered += 1
             headers = [pair for pair in exchange.headers if pair[0] not in self.dropped]
             if exchange.source is None:
                 self._close(call, 200, headers, exchange.body)
@@ -476,7 +487,8 @@
     def _refuse(self, action: api.Refuse) -> None:
         call = self.calls.get(action.call)
         if call is not None:
-            advice = ((b"retry-after", b"%.3f" % action.retry_after),) if action.retry_after > 0 else ()
+            wait = action.retry_after if self.advise is None else self.advise(action.retry_after)
+            advice = ((b"retry-after", b"%.3f" % wait),) if wait > 0 else ()
             self._close(call, 503, advice, b"refused\n")
 
     def _fail(self, action: api.Fail) -> None:
@@ -504,12 +516,18 @@
             status = exchange.status
             assert status is not None
             report = read_report(exchange.body) if status is api.Status.OK else None
+            if self.witness is not None:
+                self.witness(action.server, status)
             if status is api.Status.MOOT:
                 status = api.Status.FULL  # not asked, so nothing is known against it
             self._push(api.Probed(action.server, status, exchange.elapsed, report))
 
         self.upstreams.start(Exchange(upstream, request, PROBE_TIMEOUT, lambda: upstream.serving, done))
 
+    def probe(self, server: int) -> None:
+        """One that the module did not ask for; it hears of it, and so does the witness."""
+        self._probe(api.Probe(server))
+
     def _set_timer(self, action: api.SetTimer) -> None:
         due = time.monotonic() + action.delay
         self.loop.call_later(max(0.0, action.delay), self._timer, due, action.token)
--- a/granitepoint/net/filters.py
+++ b/granitepoint/net/filters.py
@@ -20,9 +20,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Turned:
-    """A refusal before any work: it never ran."""
+    """A refusal before any work: it never ran. With another code than 503 that is not said."""
 
     text: bytes
+    code: int = 503
+    headers: Headers = ()
 
 
 class Ticket(Protocol):
@@ -31,6 +33,7 @@
     due: float  # when it has to be over
     attempts: int  # at the most; 0: as many as its class has
     share: float  # of its class's worth
+    stops: bool  # an attempt ends where its caller leaves
 
     def sending(self, timeout: float) -> bytes | None:
         """Header lines for an attempt that goes out now; None: it must not."""
@@ -51,8 +54,8 @@
     def retuned(self, settings: Settings) -> None:
         """Other settings are in force from now on."""
 
-    def arrival(self, request: Request, give_up: Callable[[], None]) -> Ticket | Turned:
-        """`give_up` ends the call at once, for want of anybody who waits for it."""
+    def arrival(self, request: Request, give_up: Callable[[], None]) -> Ticket | Turned | None:
+        """`give_up` ends the call at once, for want of anybody who waits for it. None: no hold on it."""
 
 
 def taken_by(filters: Iterable[Filter]) -> frozenset[bytes]:
@@ -69,5 +72,6 @@
             for ticket in tickets:
                 ticket.ended(True)
             return found
-        tickets.append(found)
+        if found is not None:
+            tickets.append(found)
     return tickets
--- a/granitepoint/operations/maintenance.py
+++ b/granitepoint/operations/maintenance.py
@@ -100,6 +100,12 @@
         return sum(1 for name, b in self.listed.items() if name in self.out or b.entry.server in avoided)
 
     # from one process to the next
+    def restore(self, out: Mapping[str, float]) -> None:
+        """Who was out before, by a record that outlives the machine; what is known here counts first."""
+        for name, since in out.items():
+            if name not in self.back and len(self.out) < MOST_OUT:
+                self.out.setdefault(name, since)
+
     def written(self, now: float) -> str:
         """What `taken` reads, here or in the process that follows."""
         self.back = {name: at for name, at in self.back.items() if now - at < self.cold_for}
--- a/granitepoint/operator/__init__.py
+++ b/granitepoint/operator/__init__.py
@@ -5,7 +5,16 @@
 """
 
 from granitepoint.operator.reader import OperatorError, Problem, read_text
-from granitepoint.operator.schema import Budgets, Fleet, Membership, Operator, Registration, WebSocket, load
+from granitepoint.operator.schema import (
+    Budgets,
+    Fleet,
+    Membership,
+    Operator,
+    Recovery,
+    Registration,
+    WebSocket,
+    load,
+)
 
-__all__ = ["Budgets", "Fleet", "Membership", "Operator", "OperatorError", "Problem", "Registration",
-"WebSocket", "load", "read_text"]
+__all__ = ["Budgets", "Fleet", "Membership", "Operator", "OperatorError", "Problem", "Recovery",
+"Registration", "WebSocket", "load", "read_text"]
--- a/granitepoint/operator/schema.py
+++ b/granitepoint/operator/schema.py
@@ -193,6 +193,22 @@
     counts: bool = key(bool, "true (who lives counts in place of the settings' number)", True)
 
 
+def _folder(value: str) -> str | None:
+    return None if not value or value.startswith("/") else "must be a path from the root"
+
+
+@dataclass(frozen=True, slots=True)
+class Recovery:
+    """[recovery]: what is kept over this process's end, and how service returns after a power loss."""
+
+    store: str = key(str, '"/var/lib/willowwing/p0" (a folder of this proxy\'s own)', "", _folder)
+    machine_mark: str = key(str, '"/etc/machine-id" (the same for one machine)', "/etc/machine-id", _folder)
+    boot_mark: str = key(
+        str, '"/proc/sys/kernel/random/boot_id" (another after each boot)',
+        "/proc/sys/kernel/random/boot_id", _folder,
+    )  # fmt: skip
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """The whole file. `file` is where it came from."""
@@ -203,11 +219,12 @@
     budgets: Budgets | None = None
     websocket: WebSocket | None = None
     fleet: Fleet | None = None
+    recovery: Recovery | None = None
 
 
 TABLES: dict[str, type] = {
     "membership": Membership, "registration": Registration, "budgets": Budgets, "websocket": WebSocket,
-    "fleet": Fleet,
+    "fleet": Fleet, "recovery": Recovery,
 }  # fmt: skip
 
 
--- a/granitepoint/recovery/census.py
+++ b/granitepoint/recovery/census.py
@@ -7,6 +7,7 @@
 
     | heard                                             | it is             | admits meanwhile |
     | survivors, one of this sala among them            | PROCESS (MACHINE) |                  |
+    | survivors; who lives of this sala has not answered | UNKNOWN           | cold             |
     | survivors, of this sala none, but others of it    | ZONE              |                  |
     | survivors; nobody else is known of this sala      | PROCESS, MACHINE where the boot differs |
     | no survivors, more than half of all beginning     | FLEET             |                  |
@@ -55,7 +56,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Peer:
-    """Another proxy, as the view has it."""
+    """Another proxy, as the view has it. `said`: by its own answer to this process, for what the view still
+    tells of a member that was just lost is its word from before; None: it has not answered yet."""
 
     name: str
     zone: str
@@ -114,6 +116,9 @@
         }
         if kept or mates or not others:
             return Finding(alone, lost - {zone}, f"{survivors[0].name} was up all the while")
+        silent = [peer.name for peer in peers if peer.zone == zone and peer.lives and peer.said is None]
+        if silent and waited < PATIENCE:
+            return Finding(Loss.UNKNOWN, None, f"{silent[0]} of its own sala has not answered yet")
         why = f"{survivors[0].name} was up all the while, and of {zone or 'its sala'} nobody"
         return Finding(Loss.ZONE, lost | {zone}, why)
     beginning = [peer for peer in peers if peer.beginning]
--- a/rigs/fleet/world.py
+++ b/rigs/fleet/world.py
@@ -28,7 +28,7 @@
 from rigs.kit import until
 from rigs.ledger import Ledger, Violation
 from rigs.padron import Padron, entry
-from rigs.program import ROOT, Program, configuration, free_port, launch
+from rigs.program import ROOT, Program, configuration, free_port, launch, settings
 from rigs.skew import STEER
 
 LOOK = 0.1  # s between two looks of the observer at each view
@@ -38,6 +38,7 @@
     r"granitepoint\.fleet: change (\d+) at ([\d.]+): (\S+) (\w+) -> (\w+), (\S+), told by (\S+): (.*)"
 )
 KEY = "0123456789abcdef" * 4  # of fleets whose datagrams are sealed
+TOLD = ("granitepoint.fleet", "granitepoint.recovery", "ERROR", "Traceback")  # lines that are kept
 GARBAGE = 64  # bytes of a datagram of a storm
 
 
@@ -54,6 +55,8 @@
     counts: bool = True
     view: bool = True  # the fleet is on
     start: bool = True  # all at once; else the script starts them
+    recovery: bool = False  # [recovery], with a store for each and marks of a machine of its own
+    cold: float = 24.0  # s for which a server is cold
     root: Path = ROOT
     newer: frozenset[int] = frozenset()  # members of the next version
     strangers: frozenset[int] = frozenset()  # members of another fleet, with these addresses by mistake
@@ -144,6 +147,8 @@
     async def _surround(self, seat: Seat) -> None:
         """Its list, its ways to the servers, and its callers."""
         seat.folder.mkdir()
+        (seat.folder / "machine").write_text(f"machine {seat.name}\n")
+        self.boot(seat.number)
         (seat.folder / "clock").write_bytes(STEER.pack(0.0, 0.0))
         padron = Padron(self.ledger, self.setup.seed + seat.number, proxy=seat.name)
         at = await padron.start()
@@ -174,9 +179,11 @@
             "seed": f"{Random(f'{self.setup.seed} {number} {seat.lives}').getrandbits(62):x}",
             "peer_listen": f"{host(77, number)}:{self.port}", "peers": peers,
         }  # fmt: skip
+        contract = {**settings()["contract"], "cold": self.setup.cold}
         return configuration(
             seat.name, f"{host(77, number)}:{self.http}", f"127.79.250.{number + 1}:{self.http}", known, more,
             balancers=self.setup.members, me=number, zone="abc"[number % 3], policy_limits=limits,
+            contract=contract,
         )  # fmt: skip
 
     def _operator(self, seat: Seat) -> str:
@@ -188,6 +195,9 @@
             f'[fleet]\nname = "{fleet}"\nperiod = {setup.period}\nsuspicion = {setup.suspicion}\n'
             f"counts = {'true' if setup.counts else 'false'}\n"
         )
+        if setup.recovery:
+            marks = "".join(f'{kind}_mark = "{seat.folder}/{kind}"\n' for kind in ("machine", "boot"))
+            text += f'[recovery]\nstore = "{seat.folder}/store"\n{marks}'
         if setup.keys:
             text += '[budgets]\nkeys_file = "{folder}/keys"\n'
         return text
@@ -310,6 +320,26 @@
         for pipe in self.seats[number].pipes:
             pipe.be_silent(on)
 
+    # a power loss
+    def boot(self, number: int) -> None:
+        """Its machine has another mark from now on."""
+        mark = f"boot {self.random.getrandbits(64):016x}\n"
+        (self.seats[number].folder / "boot").write_text(mark)
+
+    def power_off(self, zones: str = "abc") -> None:
+        """Proxies and nodos of these salas end in one moment, and their machines will have booted anew."""
+        for seat in self.seats:
+            if "abc"[seat.number % 3] in zones:
+                self.kill(seat.number)
+                self.boot(seat.number)
+        for nodo in self.nodos:
+            if nodo.zone in zones:
+                nodo.stop()
+
+    async def nodo_on(self, number: int) -> None:
+        """It is back, cold, and its list does not say so yet."""
+        await self.nodos[number].start(cold=True)
+
     def drain(self, server: str, on: bool) -> None:
         for padron in self.padrons:
             item = dict(padron.entries[server], status="Terminating" if on else "Ready")
@@ -442,7 +472,7 @@
     def _line(self, seat: Seat, line: str) -> None:
         found = CHANGE.search(line)
         if found is None:
-            if "granitepoint.fleet" in line or "ERROR" in line or "Traceback" in line:
+            if any(word in line for word in TOLD):
                 self.lines.setdefault(seat.name, []).append(line)
             return
         stamp, at, name, before, after, incarnation, teller, reason = found.groups()
--- a/tests/recovery/test_phases.py
+++ b/tests/recovery/test_phases.py
@@ -79,6 +79,10 @@
     sala = [peer(number, BEGUN if number % 3 == 0 else UP) for number in range(1, 24)]
     for known in (True, False):
         assert (found(sala, known=known).loss, found(sala, known=known).lost) == (Loss.ZONE, frozenset("a"))
+    # What the view still says of its sala is from before, as long as nobody of it has answered.
+    silent = [peer(number, None if number % 3 == 0 else UP) for number in range(1, 24)]
+    assert found(silent).loss is Loss.UNKNOWN and found(silent, waited=PATIENCE).loss is Loss.ZONE
+    assert found(silent, kept=True).loss is Loss.PROCESS
     dead = [peer(number, UP, lives=number % 3 != 0) for number in range(1, 24)]
     assert found(dead).loss is Loss.ZONE  # the first of its sala to be back
     other = [peer(number, BEGUN if number % 3 == 1 else UP) for number in range(1, 24)]
--- /dev/null
+++ b/tests/recovery/test_power.py
@@ -0,0 +1,150 @@
+"""Power losses on several processes of the program: what each says happened, and how service returns."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from granitepoint.recovery.facts import Maintenance, put
+from granitepoint.recovery.folder import Folder
+from granitepoint.recovery.store import Owner, Store, read_store
+from rigs.fleet.world import Seat, Setup, World, world
+from rigs.kit import until
+
+COLD = 2.0  # s
+PHASE = re.compile(r"recovery: (\w+) -> (\w+) after")
+HAPPENED = re.compile(r"what happened: ([^:]+): ")
+
+
+class Power:
+    """What the logs say since the last look."""
+
+    def __init__(self, of: World) -> None:
+        self.world = of
+        self.at = {seat.name: 0 for seat in of.seats}
+
+    def mark(self) -> None:
+        self.world.observer.read_logs()
+        self.at = {name: len(self.world.observer.lines.get(name, [])) for name in self.at}
+
+    def lines(self, seat: Seat) -> str:
+        self.world.observer.read_logs()
+        return "\n".join(self.world.observer.lines.get(seat.name, [])[self.at[seat.name] :])
+
+    def happened(self, seat: Seat) -> list[str]:
+        return HAPPENED.findall(self.lines(seat))
+
+    def path(self, seat: Seat) -> list[str]:
+        found = PHASE.findall(self.lines(seat))
+        return [found[0][0], *(after for _, after in found)] if found else []
+
+    async def steady(self, *seats: Seat) -> None:
+        """These, or all."""
+        wanted = seats or tuple(self.world.seats)
+        await until(
+            lambda: not self.world.starting and all(self.path(seat)[-1:] == ["steady"] for seat in wanted),
+            "steady", 60,
+        )  # fmt: skip
+
+
+def played(work: Callable[[World, Power], Coroutine[Any, Any, None]]) -> None:
+    async def test() -> None:
+        setup = Setup(members=6, nodos=6, rate=10.0, period=0.25, recovery=True, cold=COLD)
+        async with world(setup) as made:
+            power = Power(made)
+            await power.steady()
+            await made.observer.settle(30, True)
+            power.mark()
+            await work(made, power)
+            await made.quiet()
+            assert not made.audit()
+            for seat in made.seats:
+                assert "Traceback" not in power.lines(seat)
+
+    asyncio.run(test())
+
+
+def test_everybody_lost_power_and_comes_back_in_the_worst_order() -> None:
+    """First tier first, nodos late, one of them never; a machine was out for maintenance."""
+
+    async def work(made: World, power: Power) -> None:
+        made.power_off()
+        await until(lambda: not made.living, "dark", 10)
+        folder = Folder(made.seats[0].folder / "store")
+        found = read_store(folder, None)
+        assert set(found.state.tables["server"]) == {f"n{number}" for number in range(6)}
+        assert len(found.state.tables["member"]) == 5
+        store = Store(folder, Owner("p0", "machine p0"))
+        store.begin(found, 1.0)
+        store.append([put("n1", Maintenance(1.0, "fan"))], 1.0)
+        store.close()
+        made.nodos[1].last_by.clear()
+        for seat in made.seats:
+            made.start(seat.number)
+        await until(lambda: all("everybody did" in power.lines(seat) for seat in made.living), "verdict", 30)
+        assert all(power.path(seat) == [] for seat in made.seats)  # dark: no server answers
+        served = sum(callers.codes[200] for callers in made.callers)
+        refused = sum(callers.codes[503] for callers in made.callers)
+        await until(lambda: sum(callers.codes[503] for callers in made.callers) > refused, "refusals", 10)
+        for number in (3, 0, 4, 1, 2):
+            await made.nodo_on(number)
+            await asyncio.sleep(0.3)
+        await power.steady()
+        for seat in made.living:
+            assert power.path(seat)[0] == "dark" and "ramp" in power.path(seat)
+            assert power.happened(seat) == ["everybody did"]
+        await until(lambda: sum(callers.codes[200] for callers in made.callers) > served + 50, "service", 20)
+        # What was out stays out, where it was known: p0 alone had that word.
+        await until(lambda: len(made.nodos[1].last_by) >= 1, "others at n1", 20)
+        assert "p0" not in made.nodos[1].last_by
+
+    played(work)
+
+
+def test_who_restarts_alone_or_in_turn_starts_no_recovery() -> None:
+    async def work(made: World, power: Power) -> None:
+        for seat in made.seats:
+            made.kill(seat.number)
+            made.start(seat.number)
+            await power.steady(seat)
+        for seat in made.seats:
+            assert set(power.happened(seat)) <= {"this process alone ended"}
+            assert "ramp" not in power.path(seat) and "provisional" not in power.path(seat)
+
+    played(work)
+
+
+def test_one_sala_lost_power() -> None:
+    """The others go on; those that come back hold their sala's nodos for cold, and nobody else's."""
+
+    async def work(made: World, power: Power) -> None:
+        made.power_off("a")
+        await until(lambda: len(made.living) == 4, "two down", 10)
+        for number in (0, 3):
+            await made.nodo_on(number)
+            made.start(number)
+        await power.steady(made.seats[0], made.seats[3])
+        for seat in made.seats:
+            lost = seat.number % 3 == 0
+            assert power.happened(seat) == (["the sala lost power"] if lost else [])
+            assert ("ramp" in power.path(seat)) is lost
+
+    played(work)
+
+
+def test_all_proxies_and_no_machine() -> None:
+    """They are warm again at once: nodos and machines had power all the while."""
+
+    async def work(made: World, power: Power) -> None:
+        for seat in made.seats:
+            made.kill(seat.number)
+        for seat in made.seats:
+            made.start(seat.number)
+        await power.steady()
+        for seat in made.seats:
+            assert power.happened(seat) == ["this process alone ended"]
+            assert "ramp" not in power.path(seat)
+
+    played(work)
