--- a/tests/fleet/test_transport.py
+++ b/tests/fleet/test_transport.py
@@ -47,11 +47,14 @@
     return read_config(raw, {})
 
 
-def test_where_the_platform_allows_no_peers_it_is_off_and_says_so(caplog: pytest.LogCaptureFixture) -> None:
+def test_where_the_platform_allows_no_peers_it_is_off_and_says_so(monkeypatch: pytest.MonkeyPatch) -> None:
+    said: list[str] = []
+    monkeypatch.setattr("granitepoint.assembly.log.error", said.append)
+
     async def test() -> None:
         driver: Any = Driver()
         assert fleet_of(Settings("portal"), config(False, **PEERS), driver, ()) is None
-        assert "the platform's settings (policy_limits.peers) allow no talk" in caplog.text
+        assert "the platform's settings (policy_limits.peers) allow no talk" in said[0]
         assert fleet_of(Settings("portal"), config(True, **PEERS), driver, ()) is not None
 
     asyncio.run(test())
