--- a/tests/operator/test_operator_file.py
+++ b/tests/operator/test_operator_file.py
@@ -164,7 +164,8 @@
         "import granitepoint.net.driver, granitepoint.net.server\n"
         "m.main([])\n"
         "bad = [n for n in sys.modules if n.startswith(('granitepoint.membership', 'granitepoint.operator',"
-        " 'granitepoint.budgets', 'granitepoint.sidecar', 'granitepoint.fleet', 'granitepoint.clock', 'granitepoint.recovery',"
+        " 'granitepoint.budgets', 'granitepoint.sidecar', 'granitepoint.fleet', 'granitepoint.clock',"
+        " 'granitepoint.recovery',"
         " 'granitepoint.benchlink', 'rigs'))]\n"
         "sys.exit(' '.join(bad) or 0)"
     )
