Read again: dead names out of recovery, and what stood twice is one

An enum, a constant, a counter and a figure that nobody read; the causes that mean that this process or machine alone ended stood in two files; dataclasses.replace in place of a copy by hand.

--- a/granitepoint/recovery/phases.py
+++ b/granitepoint/recovery/phases.py
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Seen:
-    """What holds at one moment. `elapsed`: s since this process began; `ramping`: since the ramp did."""
+    """What holds at one moment. `elapsed`: s since this process began."""
 
     servers: int = 0  # that answer
     loss: Loss = Loss.UNKNOWN
@@ -58,7 +58,6 @@
     warm: bool = False  # all that answer have been up for their cold time
     fell: bool = False  # servers that answered fell again, within LEAST_CALM
     elapsed: float = 0.0
-    ramping: float = 0.0
     cold_for: float = 0.0
 
     @property
--- a/granitepoint/recovery/service.py
+++ b/granitepoint/recovery/service.py
@@ -12,6 +12,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from hashlib import blake2b
 from pathlib import Path
 from random import Random
@@ -36,7 +37,7 @@
 from granitepoint.recovery.folder import Folder, mark
 from granitepoint.recovery.keeper import Keeper
 from granitepoint.recovery.overlay import Overlay
-from granitepoint.recovery.phases import ADMITS, LEAST_CALM, Admits, Phase, Seen, step
+from granitepoint.recovery.phases import ADMITS, ALONE, LEAST_CALM, Admits, Phase, Seen, step
 from granitepoint.recovery.store import Owner
 from granitepoint.recovery.trust import Loss, Repeat, Situation, Trust, judge, repeat
 from granitepoint.recovery.turns import FIRST
@@ -50,7 +51,6 @@
 MOST_ANSWERS = 20_000  # members
 PROBES = 4.0  # a second of a server that does not answer yet, by all proxies together
 MOST_PROBES = 8  # at one look
-SPANS = (Loss.PROCESS, Loss.MACHINE)
 
 
 class Proxied(Protocol):
@@ -86,7 +86,6 @@
     def returned(self, exchange: Exchange, status: Status) -> None:
         """One that never ran leaves nothing behind, as long as no other attempt did."""
         if status not in NEVER_RAN:
-            self.sent = True
             self.key = ""
         elif self.key:
             self.sent = False
@@ -142,7 +141,6 @@
         self.timer: asyncio.TimerHandle | None = None
         self.said = b""
         self.lost_at = 0  # wall time at which this process found that everybody had lost power
-        self.refused = 0
         self.kept_out: dict[str, float] = {}
         self.kept_members: dict[str, tuple[int, int]] = {}
         self.stamp = -1  # of the view that these are of
@@ -313,7 +311,7 @@
             self.proxy.zone, self.kept, peers, self.before, expected, now - self.began
         )
         if finding.loss is not self.finding.loss or finding.lost != self.finding.lost:
-            stands = self.finding.loss in SPANS and finding.loss not in SPANS
+            stands = self.finding.loss in ALONE and finding.loss not in ALONE
             if stands or (finding.loss is Loss.UNKNOWN and self.finding.loss is not Loss.UNKNOWN):
                 return  # a survivor's word stands, also where that survivor is gone since
             log.info("what happened: %s: %s", finding.loss.value, finding.why)
@@ -352,7 +350,6 @@
             warm=lists.warm(now),
             fell=now - lists.fell_at < LEAST_CALM,
             elapsed=now - self.began,
-            ramping=now - self.since,
             cold_for=self.proxy.cold_for,
         )
         after, guard = step(self.phase, seen)
@@ -419,7 +416,7 @@
         for name, item in self.lists.listed.items():
             fact = fact_of(item, now)
             old = self.kept_servers.get(name)
-            if old is None or fact != with_time(old, fact.at):
+            if old is None or fact != replace(old, at=fact.at):
                 self.kept_servers[name] = fact
                 keeper.put(name, fact)
                 changed = True
@@ -455,7 +452,6 @@
         if self.phase is not Phase.STEADY:
             turned = self._turned(request)
             if turned is not None:
-                self.refused += 1
                 return turned
         if self.keeper is None or not request.key:
             return None
@@ -527,11 +523,3 @@
         f"{host}:{port}", entry.zone, entry.kind, entry.cell, entry.weight,
         entry.state is ServerState.DRAINING, round(since, 3), now,
     )  # fmt: skip
-
-
-def with_time(fact: Server, at: float) -> Server:
-    return Server(
-        fact.address, fact.zone, fact.kind, fact.group, fact.weight, fact.draining, fact.since, at
-    )
-
-
--- a/granitepoint/recovery/trust.py
+++ b/granitepoint/recovery/trust.py
@@ -17,7 +17,6 @@
 LIST_FOR = 600.0  # s for which a list is what the sources would still say
 LEARNED_FOR = 120.0  # s for which a server's pace is likely to be the same
 MEMBERS_FOR = 30 * 86_400.0  # s after which nobody is looked for at an address
-BACK_FOR = 3_600.0  # s after which a server that came back is as any other
 
 
 class Loss(Enum):
@@ -36,13 +35,6 @@
     IGNORED = "ignored"
 
 
-class When(Enum):
-    """A fact's time beside the clock."""
-
-    PAST = "past"
-    FUTURE = "future"  # its clock, or this one, was wrong
-
-
 @dataclass(frozen=True, slots=True)
 class Row:
     """Degrees by what happened, for a fact whose time is past and not too old; `most`: its age, s."""
--- a/tests/recovery/test_phases.py
+++ b/tests/recovery/test_phases.py
@@ -33,7 +33,7 @@
     for phase, servers, loss, settled, fresh, warm, fell, elapsed in product(
         Phase, (0, 5), Loss, bits, bits, bits, bits, spans
     ):
-        seen = Seen(servers, loss, settled, fresh, warm, fell, elapsed, 0.0, COLD)
+        seen = Seen(servers, loss, settled, fresh, warm, fell, elapsed, COLD)
         after, guard = step(phase, seen)
         assert (guard is None) == (after is phase)
         if elapsed >= ends or phase is Phase.STEADY:
