A silent watch is followed at once by a call that needs no wait; pushed lists are asked for

Cause: HOLD_MS 20 s + PATIENCE 4 s is later than the page's wait + 2 s + grace (2 s here, 0.5 s for the other customer) by itself, and the module's pause of 1 to 2 s comes on top.

Change: net/freshness.py is the one budget, pure, from the settings' grace and the page's figures. A watch that falls silent is followed on a new connection by a call with hold_ms=0, again until one is answered or nothing is owed; only then the module hears of a failure. An answer that stands still in its middle counts as silent. Waits lie between 15 and 25 s, so that a fleet whose watches ended together does not come back together; calls stay at 3 per proxy and minute. Found on the way: where lists are pushed, nothing ever asked the agent (the module is told there, and nobody told it); now each wait, patience and next call is a quarter of the grace.

--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -20,6 +20,7 @@
 from granitepoint.net.discovery import WALL_OFFSET, Discovery
 from granitepoint.net.fields import HOP_BY_HOP
 from granitepoint.net.filters import Filter, Ticket, Turned, ask, taken_by
+from granitepoint.net.freshness import Freshness, freshness
 from granitepoint.net.limits import LATE, ONE_TURN, UPSTREAM_SHARE
 from granitepoint.net.listing import Listing, read_listing
 from granitepoint.net.server import Page, Pages, Reply, Request
@@ -60,6 +61,10 @@
     return report or None
 
 
+def pace_of(settings: api.Settings) -> Freshness:
+    return freshness(settings.ask_for_list, settings.drain_grace)
+
+
 NO_TICKETS: list[Ticket] = []  # of all calls that no filter holds
 
 
@@ -133,7 +138,10 @@
             known = read_listing(config.known, WALL_OFFSET) if config.known else Listing(0, True, [])
         except ValueError as fault:
             raise ConfigError(f"bad configuration: known: {fault}") from None
-        self.discovery = Discovery(config.discovery, known.version, self.take_list, self.list_failed)
+        self.discovery = Discovery(
+            config.discovery, known.version, pace_of(self.settings), config.seed,
+            self.take_list, self.list_failed,
+        )  # fmt: skip
         self.known = known
         if overlay is not None:
             known = overlay(known)
@@ -146,6 +154,7 @@
 
     def start(self) -> None:
         self._flush()
+        self.discovery.start()
 
     def stop(self) -> None:
         self.discovery.stop()
@@ -218,6 +227,7 @@
         self.upstreams.idle_for = IDLE_SHARE * settings.conn_idle
         for filter in self.filters:
             filter.retuned(settings)
+        self.discovery.retune(pace_of(settings))
         self._push(api.NewSettings(settings))
 
     def set_instances(self, count: int) -> None:
@@ -244,7 +254,8 @@
         return self.upstreams.ready
 
     def list_failed(self) -> None:
-        self._push(api.ServerList(api.ListKind.FAILED))
+        if self.settings.ask_for_list:  # else there is nothing that the module could do
+            self._push(api.ServerList(api.ListKind.FAILED))
 
     # the callers' side
     def pages(self) -> Pages:
--- /dev/null
+++ b/tests/test_freshness.py
@@ -0,0 +1,324 @@
+"""Being told: what a list that never arrived may cost, and that silent calls are followed in time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from netkit import PATIENCE, Backend, endpoint, listing, proxy, read_message, response, run
+from netkit import Discovery as SilentDiscovery
+
+from granitepoint.net.discovery import Discovery
+from granitepoint.net.freshness import MOVED_TOLD, WAITED_TOLD, Freshness, freshness
+from granitepoint.net.listing import Listing
+
+GRACES = [0.0, 0.2, 0.5, 1.0, 2.0, 5.0]
+
+
+@pytest.mark.parametrize("grace", GRACES)
+def test_after_a_silent_watch_two_calls_fit_into_what_is_left_of_the_grace(grace: float) -> None:
+    pace = freshness(True, grace)
+    told = WAITED_TOLD + grace  # after its wait, when what it missed must be in force
+    assert pace.patience + 2 * pace.call <= told + 1e-9
+    assert pace.patience + pace.owed <= told + 1e-9
+    assert pace.connect < pace.call
+    assert 2 * pace.first <= MOVED_TOLD + grace
+
+
+@pytest.mark.parametrize("grace", [grace for grace in GRACES if grace])
+def test_a_pushed_list_that_one_silent_call_missed_comes_within_the_grace(grace: float) -> None:
+    pace = freshness(False, grace)
+    assert pace.pushed
+    assert pace.wait(1.0) + pace.patience + pace.spacing + pace.call <= 0.9 * grace + 1e-9
+
+
+def test_an_asked_list_is_asked_for_three_times_a_minute_and_calls_come_apart() -> None:
+    pace = freshness(True, 2.0)
+    waits = [pace.wait(number / 100) for number in range(101)]
+    assert sum(waits) / len(waits) == pytest.approx(20.0)
+    assert max(waits) - min(waits) == pytest.approx(10.0)
+    assert max(waits) < 60.0  # what the protocol allows
+
+
+Said = Callable[[str, asyncio.StreamWriter], Awaitable[None]]
+
+
+class Scripted:
+    """A discovery that does with each call what the script says, in order of their coming; then nothing."""
+
+    def __init__(self, *script: Said) -> None:
+        self.script = list(script)
+        self.asked: asyncio.Queue[tuple[int, str]] = asyncio.Queue()  # connection, target
+        self.connections = 0
+
+    async def start(self) -> tuple[str, int]:
+        self.server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        return host, port
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        number = self.connections
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                target = (await read_message(reader))[0].split(" ")[1]
+                self.asked.put_nowait((number, target))
+                if self.script:
+                    await self.script.pop(0)(target, writer)
+        writer.close()
+
+    async def next(self) -> tuple[int, str]:
+        async with asyncio.timeout(PATIENCE):
+            return await self.asked.get()
+
+
+async def silent(target: str, writer: asyncio.StreamWriter) -> None:
+    pass
+
+
+async def busy(target: str, writer: asyncio.StreamWriter) -> None:
+    writer.write(response(503))
+
+
+async def resets(target: str, writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+
+
+async def half(target: str, writer: asyncio.StreamWriter) -> None:
+    writer.write(response(200, b'{"index": 5, "snapshot": false, "endpoints": []}')[:-9])
+
+
+def tells(index: int, snapshot: bool = False, indent: int | None = None) -> Said:
+    async def told(target: str, writer: asyncio.StreamWriter) -> None:
+        text = json.dumps(listing(index, endpoint("s-1", "127.0.0.1:9"), snapshot=snapshot), indent=indent)
+        writer.write(response(200, text.encode()))
+
+    return told
+
+
+# The asked budget, a hundredth of its waits and much of its calls: a loaded machine answers within them.
+QUICK = replace(freshness(True, 2.0), hold=0.1, spread=0.0, patience=0.1, call=5.0, owed=10.0, spacing=0.01)
+
+
+class Watched:
+    """A Discovery against a script, with what it handed on."""
+
+    def __init__(self, pace: Freshness, version: int = 3) -> None:
+        self.lists: asyncio.Queue[Listing] = asyncio.Queue()
+        self.failed = asyncio.Event()
+        self.pace, self.version = pace, version
+
+    async def against(self, server: Scripted) -> Discovery:
+        at = await server.start()
+        self.discovery = Discovery(
+            at, self.version, self.pace, 1, self.lists.put_nowait, lambda: self.failed.set()
+        )
+        return self.discovery
+
+    async def list(self) -> Listing:
+        async with asyncio.timeout(PATIENCE):
+            return await self.lists.get()
+
+    async def failure(self) -> None:
+        async with asyncio.timeout(PATIENCE):
+            await self.failed.wait()
+
+
+@pytest.mark.parametrize("then", [(), (busy,), (resets,), (busy, resets, busy)])
+def test_a_silent_watch_is_followed_at_once_on_a_new_connection_until_a_list_comes(
+    then: tuple[Said, ...],
+) -> None:
+    """Found on calm+brink, seeds 1 to 10: the module was told of the failure and paused, while what the
+    watch had missed counted as told."""
+
+    async def test() -> None:
+        server, watched = Scripted(silent, *then, tells(4, indent=2)), Watched(QUICK)
+        discovery = await watched.against(server)
+        discovery.watch(True)
+        assert await server.next() == (1, "/v1/servers?from=3&hold_ms=100")
+        for number in range(len(then) + 1):
+            connection, target = await server.next()
+            assert target == "/v1/servers?from=3&hold_ms=0"  # answered at once, with news or without
+            assert connection > 1, number
+        assert (await watched.list()).version == 4
+        assert (await server.next())[1] == "/v1/servers?from=4&hold_ms=100"  # and it may wait again
+        assert not watched.failed.is_set()
+        discovery.stop()
+
+    run(test())
+
+
+def test_an_answer_that_stands_still_in_its_middle_is_given_up_before_the_wait_is_over() -> None:
+    async def test() -> None:
+        server, watched = Scripted(half, tells(4)), Watched(replace(QUICK, hold=60.0, call=0.2))
+        discovery = await watched.against(server)
+        discovery.watch(True)
+        assert (await server.next())[0] == 1
+        assert (await watched.list()).version == 4
+        discovery.stop()
+
+    run(test())
+
+
+def test_once_nothing_is_owed_any_more_the_module_decides_when_to_ask() -> None:
+    async def test() -> None:
+        server, watched = Scripted(silent, *[busy] * 1000), Watched(replace(QUICK, owed=0.1))
+        discovery = await watched.against(server)
+        discovery.watch(True)
+        await watched.failure()
+        assert 1 <= server.asked.qsize() <= 20
+        discovery.stop()
+
+    run(test())
+
+
+@pytest.mark.parametrize("first", [busy, resets, half, silent])
+def test_a_failed_call_that_could_not_wait_is_the_modules_matter_where_lists_are_asked(first: Said) -> None:
+    """Discovery is one service for all: only what a silent watch missed is asked for without a pause."""
+
+    async def test() -> None:
+        pace = replace(QUICK, call=0.1, owed=0.0)
+        server, watched = Scripted(first), Watched(pace)
+        discovery = await watched.against(server)
+        discovery.watch(True)
+        await watched.failure()
+        discovery.stop()
+
+    run(test())
+
+
+def test_a_moved_discovery_that_is_silent_is_asked_again_within_the_time_of_a_move() -> None:
+    async def test() -> None:
+        server = Scripted(silent, busy, tells(1, snapshot=True))
+        watched = Watched(replace(QUICK, first=0.2, moved=60.0))
+        discovery = await watched.against(Scripted())
+        discovery.move(await server.start())
+        for connection in (1, 2):
+            assert await server.next() == (connection, "/v1/servers")
+        assert (await watched.list()).version == 1
+        assert not watched.failed.is_set()
+        discovery.stop()
+
+    run(test())
+
+
+def test_a_version_that_goes_back_is_followed_from_where_it_is() -> None:
+    async def test() -> None:
+        server, watched = Scripted(tells(2, snapshot=True), tells(1)), Watched(QUICK, version=900)
+        discovery = await watched.against(server)
+        discovery.watch(True)
+        for version in (900, 2, 1):
+            assert (await server.next())[1].startswith(f"/v1/servers?from={version}&")
+        discovery.stop()
+
+    run(test())
+
+
+class Agent(SilentDiscovery):
+    """Answers a call at once where it has news, else when its wait is over; or not at all."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.version, self.entries = 1, list[dict[str, Any]]()
+        self.news = asyncio.Condition()
+        self.down = False
+
+    async def tell(self, *entries: dict[str, Any]) -> None:
+        async with self.news:
+            self.version, self.entries = self.version + 1, list(entries)
+            self.news.notify_all()
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                target = (await read_message(reader))[0].split(" ")[1]
+                self.asked.put_nowait(target)
+                at = int(target.partition("from=")[2].partition("&")[0])
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(int(target.partition("hold_ms=")[2]) / 1000), self.news:
+                        while self.version <= at:
+                            await self.news.wait()
+                if not self.down:
+                    told = listing(self.version, *self.entries, snapshot=False)
+                    writer.write(response(200, json.dumps(told).encode()))
+        writer.close()
+
+    async def call(self) -> str:
+        async with asyncio.timeout(PATIENCE):
+            return await self.asked.get()
+
+
+def test_where_lists_are_pushed_a_new_process_asks_at_once_and_is_told_of_a_drain() -> None:
+    """Nothing asked an agent before: the module waits to be told where lists are pushed."""
+
+    async def test() -> None:
+        agent, leaves, stays = Agent(), Backend(), Backend()
+        await agent.start()
+        async with proxy({"s-1": leaves, "s-2": stays}, agent, discovery="push") as node:
+            assert "from=1&" in await agent.call()
+            await agent.tell(endpoint("s-1", leaves.address, "Terminating"))
+            while "from=2&" not in await agent.call():
+                pass
+            caller = await node.caller()
+            for number in range(20):
+                assert (await caller.call("stock", f"{number:016x}")).code == 200
+            assert (leaves.count, stays.count) == (0, 20)
+
+    run(test())
+
+
+def test_an_agent_that_was_down_is_heard_at_its_return_though_a_call_of_before_stays_silent() -> None:
+    async def test() -> None:
+        agent, leaves, stays = Agent(), Backend(), Backend()
+        await agent.start()
+        async with proxy({"s-1": leaves, "s-2": stays}, agent, discovery="push") as node:
+            await agent.call()
+            agent.down = True
+            await agent.tell(endpoint("s-1", leaves.address, "Gone"))
+            for _ in range(5):
+                assert "from=1&" in await agent.call()
+            agent.down = False
+            while "from=2&" not in await agent.call():
+                pass
+            caller = await node.caller()
+            for number in range(20):
+                assert (await caller.call("stock", f"{number:016x}")).code == 200
+            assert (leaves.count, stays.count) == (0, 20)
+
+    run(test())
+
+
+def test_an_agent_that_was_silent_is_heard_within_the_grace_of_its_return() -> None:
+    async def test() -> None:
+        pace = freshness(False, 2.0)
+        server, watched = Scripted(), Watched(pace)
+        discovery = await watched.against(server)
+        discovery.start()
+        for _ in range(6):  # as long as it is silent, calls follow one another, each on its own connection
+            await server.next()
+        assert server.connections >= 5
+        server.script.append(tells(9))
+        begun = time.monotonic()
+        assert (await watched.list()).version == 9
+        assert time.monotonic() - begun < 2.0
+        discovery.stop()
+
+    run(test())
+
+
+def test_a_pushed_list_goes_on_after_failures_of_any_kind_and_the_module_is_not_needed() -> None:
+    async def test() -> None:
+        pace = replace(freshness(False, 2.0), hold=0.02, patience=0.05, call=0.05, spacing=0.01)
+        server, watched = Scripted(*[busy, resets, silent, half] * 5, tells(4)), Watched(pace)
+        discovery = await watched.against(server)
+        discovery.start()
+        assert (await watched.list()).version == 4
+        discovery.stop()
+
+    run(test())
