What lies unread is answered before a connection is closed; SIGTERM shortens open calls too

It is looked at first, in one place (net/polling.py, which the backends' side uses too), and read if there is something. - At SIGTERM only calls that came later were bound to the end (driver.end_by).

--- a/granitepoint/assembly.py
+++ b/granitepoint/assembly.py
@@ -38,7 +38,7 @@
 log = logging.getLogger("granitepoint")
 
 DRAIN_STEP = 0.01  # s between looks whether all is answered
-LAST_BYTES = 1.0  # s for the last answers to be taken
+LAST_BYTES = 0.3  # s for the last answers to be taken; with __main__.SPARE it stays ahead of the SIGKILL
 LOG_LINES = 20  # of one kind
 LOG_SPAN = 10.0  # s for which no more are written
 
@@ -95,6 +95,7 @@
         self.driver = Driver(
             config, outer_filters(budgets, called, config, self.recovery), chained(overlays)
         )
+        self.ends = 0.0  # when all is to be over, once it is known
         self.subsystems: list[Subsystem] = []
         if membership is not None:
             from granitepoint.membership.source import Membership as Source
@@ -154,7 +155,8 @@
 
     def end_by(self, end_by: float) -> None:
         """All that is open is to be over by then; sessions begin to end now."""
-        self.driver.end_by = end_by
+        self.ends = end_by
+        self.driver.end_all_by(end_by)
         if self.front is not None:
             self.front.drain(end_by)
         if self.fleet is not None:
@@ -166,6 +168,7 @@
         await wind_down(
             self.server,
             lambda: bool(self.driver.calls) or self.server.inflight > 0 or (front is not None and front.owes),
+            self.ends,
         )
 
     def stop(self) -> None:
@@ -262,18 +265,18 @@
     return (InnerFilter(budgets, classes),)
 
 
-async def wind_down(server: Server, owes: Callable[[], bool]) -> None:
-    """The end of a listener: what it owes is answered, and the last bytes are given time to leave."""
+async def wind_down(server: Server, owes: Callable[[], bool], ends: float = 0.0) -> None:
+    """The end of a listener: what it owes is answered, and the last bytes are given time to leave, also
+    beyond `ends` where that is still to come."""
     server.draining = True
     server.close_idle()
     while owes():
         server.close_idle(partial=True)
         await asyncio.sleep(DRAIN_STEP)
-    # All is answered; the last bytes may still be on their way to a slow peer.
-    server.close_idle(partial=True)
-    for _ in range(int(LAST_BYTES / DRAIN_STEP)):
-        if not server.connections:
-            return
+    # All is answered; the last bytes may still be on their way to a slow peer, or a request to us.
+    last = max(ends, time.monotonic()) + LAST_BYTES
+    while server.connections and time.monotonic() < last:
+        server.close_idle(partial=True)
         await asyncio.sleep(DRAIN_STEP)
     server.abort_leaving()
 
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -118,7 +118,7 @@
         self.events: list[api.Event] = []
         self.flush_at: asyncio.Handle | None = None
         self.flushed = 0.0
-        self.end_by = math.inf  # when the process is to end: what comes now is answered by then
+        self.end_by = math.inf  # when the process is to end: all is answered by then
         self.lag = 0.0  # s, how late this loop was lately
         self.on_empty: Callable[[], None] | None = None
         self.carriers: dict[type, Callable[[Any], None]] = {
@@ -159,6 +159,13 @@
     def stop(self) -> None:
         self.discovery.stop()
 
+    def end_all_by(self, end_by: float) -> None:
+        """The process is to end: what is open is answered by then, too, whatever its client would wait."""
+        self.end_by = end_by
+        for call in self.calls.values():
+            call.deadline = min(call.deadline, end_by)
+            self._set_timeout(call)
+
     # events
     def _push(self, event: api.Event) -> None:
         """Events come to the module no more often than once a quantum."""
@@ -276,7 +283,8 @@
         margin = min(MOST_MARGIN, LEAST_MARGIN + 2 * self.lag)
         # No client of a class waits longer than its deadline, whatever it says.
         deadline = request.came + min(request.budget, self.deadlines[request.cls]) - margin
-        call = OpenCall(number, request, reply, min(deadline, self.end_by))
+        deadline = min(deadline, self.end_by)
+        call = OpenCall(number, request, reply, deadline)
         if not request.body.whole:  # its time begins with its last byte
             call.deadline = self.end_by
             request.body.on_whole = lambda: self._whole(call)
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import re
-import select
 import time
 from collections import deque
 from collections.abc import Callable, Mapping
@@ -18,6 +17,7 @@
 from granitepoint.net.bodies import Body, chunk_of
 from granitepoint.net.fields import HOP_BY_HOP, closes, read_field
 from granitepoint.net.limits import LATE, ONE_TURN, UPSTREAM_SHARE
+from granitepoint.net.polling import ended, readable
 from granitepoint.net.protocols import Source, Switch
 
 log = logging.getLogger(__name__)
@@ -652,6 +652,17 @@
             transport.resume_reading()
         transport.write_eof()
 
+    @property
+    def unread(self) -> bool:
+        """Whether something lies in its socket: the next request perhaps, whole."""
+        return self.transport is not None and not self.transport.is_closing() and readable(self.transport)
+
+    def dismiss(self) -> None:
+        """Closes it between two requests. What has come meanwhile is read first: it may be taken, and owed
+        an answer."""
+        if not self.unread:
+            self.close()
+
     def too_late(self) -> None:
         """No whole request has come in time. Half of one gets an answer that says so."""
         if self.paused and self.early is not None:
@@ -660,7 +671,7 @@
             self._break(BadRequest(408, "the request did not end"))
             self._next()
         else:
-            self.close()
+            self.dismiss()
 
     @property
     def unsent(self) -> int:
@@ -759,11 +770,13 @@
             gone.abort()
             return True
         for which, age in YIELDS:
-            oldest = next(iter(self.kept if which == "kept" else self.fresh), None)
-            if oldest is not None and oldest.since <= now - age:
-                self.place(oldest, None)
-                oldest.abort()
-                return True
+            for connection in self.kept if which == "kept" else self.fresh:
+                if connection.since > now - age:
+                    break
+                if not connection.unread:
+                    self.place(connection, None)
+                    connection.abort()
+                    return True
         return False
 
     @property
@@ -793,7 +806,7 @@
         """All that ask nothing, and on demand those whose request has only begun to come."""
         for connection in [*self.kept, *self.fresh]:
             if partial or not connection.raw:
-                connection.close()
+                connection.dismiss()
 
     def abort_leaving(self) -> None:
         """Ends what a close does not: peers that never take their last answer."""
@@ -813,7 +826,7 @@
             return
         for table, bound, end in (
             (self.fresh, WHOLE, ClientConnection.too_late),
-            (self.kept, KEPT, ClientConnection.close),
+            (self.kept, KEPT, ClientConnection.dismiss),
             (self.leaving, LINGER, ClientConnection.linger_over),
         ):
             due = []
@@ -829,12 +842,6 @@
     def _look_for_ends(self) -> None:
         """A caller that leaves while it is not read from is told by its socket alone. What it wanted is not
         sent on, and its place serves another."""
-        asked = {}
-        poll = select.poll()
-        for connection in self.unheard:
-            if connection.call is not None and connection.transport is not None:
-                number = connection.transport.get_extra_info("socket").fileno()
-                asked[number] = connection
-                poll.register(number, select.POLLRDHUP)
-        for number, _ in poll.poll(0) if asked else ():
-            asked[number].abort()
+        asked = {c.transport: c for c in self.unheard if c.call is not None and c.transport is not None}
+        for transport in ended(asked):
+            asked[cast(asyncio.Transport, transport)].abort()
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -10,7 +10,6 @@
 import errno
 import logging
 import math
-import select
 import time
 from collections.abc import Callable
 from typing import Any, cast
@@ -22,6 +21,7 @@
 from granitepoint.net.fields import closes, read_field
 from granitepoint.net.limits import LATE, MOST_LENGTH, ONE_TURN
 from granitepoint.net.listing import Address, Listing
+from granitepoint.net.polling import readable
 from granitepoint.net.protocols import Sink, Switch
 
 log = logging.getLogger(__name__)
@@ -478,11 +478,7 @@
 
     def unread(self) -> bool:
         """Whether bytes nobody asked for, or the connection's end, lie in its socket by now."""
-        if self.transport is None or self.transport.is_closing():
-            return True
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return self.transport is None or self.transport.is_closing() or readable(self.transport)
 
     def abandon(self) -> None:
         self.exchange = None
--- /dev/null
+++ b/tests/test_ending.py
@@ -0,0 +1,148 @@
+"""The process ends, or a connection makes room: what was taken, or lies unread, is still owed its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+import uvloop
+from netkit import PATIENCE, SETTINGS, Backend, Caller, Seen, next_call, proxy, run
+
+from granitepoint.interface import Effect
+from granitepoint.net.server import KEPT, WHOLE, ClientConnection, Server
+
+KILL = 3.0 + 0.7  # s after SIGTERM at which SIGKILL may come, where the longest deadline is 3 s or more
+
+
+async def hangs(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    pass
+
+
+def grades() -> list[dict[str, Any]]:
+    """All classes with an aim as long as their deadline, so that nothing ends an attempt sooner."""
+    made: list[dict[str, Any]] = copy.deepcopy(SETTINGS["grades"])
+    for grade in made:
+        grade["objective"] = grade["deadline"] = 9.0
+    return made
+
+
+def test_what_was_open_at_sigterm_is_answered_before_the_kill_though_all_backends_hang() -> None:
+    """Sent, waiting in the queue, and begun to come: only time ends them."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        backend = Backend(hangs)
+        async with proxy({"s-1": backend}, grades=grades()) as node:
+            callers = [await node.caller() for _ in range(12)]
+            for number, caller in enumerate(callers):
+                cls = ("stock", "reserva", "canje")[number % 3]
+                caller.send(cls, f"{number:016x}", budget="9000m")
+            begins = await node.caller()
+            begins.writer.write(b"GET /stock HTTP/1.1\r\nHost: x\r\n")
+            await next_call(backend)
+            begun = loop.time()
+            node.terminate()
+            node.terminate()  # a second one changes nothing
+            for caller in callers:
+                assert (await caller.answer()).code in (502, 503, 504)
+            assert await node.code() == 0
+            assert loop.time() - begun < KILL
+            assert node.process.stderr is not None
+            assert b"Traceback" not in await node.process.stderr.read()
+
+    run(test())
+
+
+class Answering:
+    """Answers each call at once."""
+
+    def opened(self, request: Any, reply: Any) -> object:
+        reply.answer(200, (), request.id)
+        return None
+
+    def left(self, call: Any) -> None: ...
+
+
+def request(id: str) -> bytes:
+    return f"GET /stock HTTP/1.1\r\nHost: x\r\nX-Call-Id: {id:>016}\r\nX-Budget: 5000m\r\n\r\n".encode()
+
+
+def make_room(server: Server) -> None:
+    server._make_room()
+
+
+def close_idle(server: Server) -> None:
+    server.close_idle()
+
+
+def close_all(server: Server) -> None:
+    server.close_idle(partial=True)
+
+
+def sweep(server: Server) -> None:
+    for connection in [*server.kept]:
+        connection.dismiss()
+    for connection in [*server.fresh]:
+        ClientConnection.too_late(connection)
+
+
+@pytest.mark.parametrize("first", [True, False], ids=["a new connection", "a kept one"])
+@pytest.mark.parametrize("end", [make_room, close_idle, close_all, sweep])
+def test_what_lies_unread_is_answered_and_who_asks_nothing_is_closed(
+    end: Callable[[Server], None], first: bool
+) -> None:
+    """The request crosses the decision to close: its bytes are in the socket, and the loop has not read them
+    yet."""
+
+    async def test() -> None:
+        server = Server({"stock": Effect.REPEATABLE}, Answering(), 256, 64, {})
+        port = await server.listen("127.0.0.1", 0)
+        raws, callers = [], []
+        for number in range(2):
+            raws.append(socket.create_connection(("127.0.0.1", port)))
+            raws[-1].setblocking(False)
+            callers.append(Caller(*await asyncio.open_connection(sock=raws[-1])))
+            if not first:
+                assert (await callers[-1].raw(request(str(number)))).code == 200
+        async with asyncio.timeout(PATIENCE):
+            while len(server.fresh if first else server.kept) < 2:
+                await asyncio.sleep(0)
+        for connection in server.connections:
+            connection.since -= max(KEPT, WHOLE)  # as if it had stood for so long
+        asks = next(iter(server.fresh if first else server.kept))  # the oldest, which would go first
+        assert asks.transport is not None
+        peer = asks.transport.get_extra_info("peername")
+        asking = next(place for place, raw in enumerate(raws) if raw.getsockname() == peer)
+        raws[asking].send(request("9"))  # and no turn of the loop between this and the next line
+        end(server)
+        assert (await callers[asking].answer()).body == b"9".rjust(16, b"0")
+        assert await callers[1 - asking].ended()
+        server.stop_listening()
+        for caller in callers:
+            caller.writer.close()
+
+    uvloop.run(test())
+
+
+def test_what_comes_after_the_last_moment_is_refused_unsent() -> None:
+    """On a kept connection clients go on sending up to the SIGKILL."""
+
+    async def test() -> None:
+        backend = Backend(hangs)
+        async with proxy({"s-1": backend}, grades=grades()) as node:
+            stuck, late = await node.caller(), await node.caller()
+            stuck.send("canje", "a" * 16, budget="9000m")
+            await next_call(backend)
+            node.terminate()
+            assert (await stuck.answer()).code in (502, 504)
+            late.send("canje", "b" * 16, budget="9000m")
+            if not await late.ended():  # answered rather than closed unread
+                assert b" 503 " in await late.reader.readline()
+            assert await node.code() == 0
+            assert backend.count == 1
+
+    run(test())
