--- a/granitepoint/budgets/header.py
+++ b/granitepoint/budgets/header.py
@@ -1,6 +1,6 @@
 """What travels between sidecars: one header field, read and written byte by byte, with its MAC. Pure.
 
-    Tier-Budget: 1;t=1200000;o=500000;a=4;w=12000;c=stock;p=edge.portal;i=9b1f03aa5c7e2d41;k=k1;m=<32 hex>
+    Tier-Budget: 1;t=1200000;o=500000;a=4;w=12000;c=read;p=edge.front;i=9b1f03aa5c7e2d41;k=k1;m=<32 hex>
 
     value   = "1;t=" number ";o=" number ";a=" number ";w=" number ";c=" name ";p=" mark *7( "." mark )
               ";i=" id ";k=" key ";m=" mac
--- a/granitepoint/operator/schema.py
+++ b/granitepoint/operator/schema.py
@@ -20,7 +20,7 @@
 def _path(value: str) -> str | None:
     parts = value.split("/")
     if not value.startswith("/") or (value != "/" and any(part in ("", ".", "..") for part in parts[1:])):
-        return "must be a path such as /salas/portal, without an empty part"
+        return "must be a path such as /zones/front, without an empty part"
     if any(ord(letter) < 0x20 or 0x7F <= ord(letter) <= 0x9F for letter in value):
         return "must hold no control characters"
     return None
@@ -64,7 +64,7 @@
     """[membership]: ephemeral nodes of a coordination service as a source of servers."""
 
     servers: tuple[str, ...] = key(tuple, '["127.0.0.1:2181"]', check=_servers)
-    path: str = key(str, '"/salas/portal"', check=_path)
+    path: str = key(str, '"/zones/front"', check=_path)
     chroot: str = key(str, '"/prod"', "", _chroot)
     session_timeout: float = key(float, "6.0", 6.0, between(0.2, 120))
     connect_timeout: float = key(float, "1.0", 1.0, between(0.05, 30))
@@ -96,7 +96,7 @@
     """[budgets]: time, attempts and worth that are passed down the chain of calls."""
 
     keys_file: str = key(str, '"/etc/willowwing/budget-keys" (a file with a line "ID HEX")')
-    mark: str = key(str, '"portal" (this tier; "edge" before the first)', "", _mark)
+    mark: str = key(str, '"front" (this tier; "edge" before the first)', "", _mark)
     edge: bool = key(bool, "true (callers are outside: what they say of budgets is stripped)", False)
     attempts: int = key(int, "12", 12, between(1, 9999))
     calls_per_request: int = key(int, "2", 2, between(1, 64))
@@ -129,7 +129,7 @@
     messages: tuple[str, ...] = key(tuple, '["pantalla"] (first part of the path)', (), _routes)
     tunnels: tuple[str, ...] = key(tuple, '["vigia"] (a class that is safe to repeat)', (), _routes)
     origins: tuple[str, ...] = key(tuple, '["https://kiosk.example"]', (), _origins)
-    subprotocols: tuple[str, ...] = key(tuple, '["cambio.v1"]', (), _protocols)
+    subprotocols: tuple[str, ...] = key(tuple, '["calls.v1"]', (), _protocols)
     sessions: int = key(int, "256", 256, between(1, 100_000))
     sessions_per_client: int = key(int, "64 (of one address; 0: no such bound)", 0, between(0, 100_000))
     sessions_per_tenant: int = key(int, "64 (0: no such bound)", 0, between(0, 100_000))
@@ -180,7 +180,7 @@
     """[fleet]: a view of the fleet that its members keep themselves."""
 
     name: str = key(
-        str, '"portal-central" (the same at all its members, and no other fleet\'s)', check=_fleet_name
+        str, '"front-east" (the same at all its members, and no other fleet\'s)', check=_fleet_name
     )
     listen: str = key(str, '"10.0.0.4:7946" (else `peer_listen` of the platform)', "", _address)
     address: str = key(str, '"10.0.0.4:7946" (where others reach it, if elsewhere)', "", _address)
--- a/granitepoint/recovery/__main__.py
+++ b/granitepoint/recovery/__main__.py
@@ -150,7 +150,7 @@
     commands = parser.add_subparsers(dest="command", required=True)
     shows = commands.add_parser("show", help="what is in it, and what would be trusted now")
     shows.add_argument("--loss", choices=sorted(LOSSES), default="unknown", help="what happened")
-    shows.add_argument("--zone", default="", help="this proxy's sala, for --loss zone")
+    shows.add_argument("--zone", default="", help="this proxy's zone, for --loss zone")
     shows.add_argument("--all", action="store_true", help="each fact, however many")
     shows.add_argument("--json", action="store_true")
     verifies = commands.add_parser("verify", help="whether it is whole")
--- a/granitepoint/recovery/census.py
+++ b/granitepoint/recovery/census.py
@@ -2,18 +2,18 @@
 
 A member that says it is STEADY has been up all the while, or recovered before this one came: either way the
 fleet as a whole is up, and its word beats any snapshot's. Where nobody is, it is told from how many of those
-who were there are back and all at their beginning. A sala counts as lost where nobody of it is steady and
-more than one of its members was there before; servers follow their sala.
+who were there are back and all at their beginning. A zone counts as lost where nobody of it is steady and
+more than one of its members was there before; servers follow their zone.
 
     | heard                                             | it is             | admits meanwhile |
-    | survivors, one of this sala among them            | PROCESS (MACHINE) |                  |
-    | survivors; who lives of this sala has not answered | UNKNOWN           | cold             |
-    | survivors, of this sala none, but others of it    | ZONE              |                  |
-    | survivors; nobody else is known of this sala      | PROCESS, MACHINE where the boot differs |
+    | survivors, one of this zone among them            | PROCESS (MACHINE) |                  |
+    | survivors; who lives of this zone has not answered | UNKNOWN           | cold             |
+    | survivors, of this zone none, but others of it    | ZONE              |                  |
+    | survivors; nobody else is known of this zone      | PROCESS, MACHINE where the boot differs |
     | no survivors, more than half of all beginning     | FLEET             |                  |
     | the same, all of whose machines kept their power  | PROCESS           |                  |
     | no survivors, half or fewer                       | UNKNOWN, after PATIENCE FLEET | cold |
-    | a steady member's own fleet                       | no loss of its own; lost salas alone |
+    | a steady member's own fleet                       | no loss of its own; lost zones alone |
 """
 
 from __future__ import annotations
@@ -75,7 +75,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Finding:
-    """`lost`: salas whose servers are cold; None: all that there are."""
+    """`lost`: zones whose servers are cold; None: all that there are."""
 
     loss: Loss
     lost: frozenset[str] | None
@@ -83,7 +83,7 @@
 
 
 def lost_zones(peers: Iterable[Peer], before: Collection[tuple[str, str]]) -> frozenset[str]:
-    """Salas of which nobody survived, of those with more than one member. `before`: names and salas of who
+    """Zones of which nobody survived, of those with more than one member. `before`: names and zones of who
     was there, by a store or a view."""
     members: dict[str, set[str]] = {}
     steady: set[str] = set()
@@ -118,8 +118,8 @@
             return Finding(alone, lost - {zone}, f"{survivors[0].name} was up all the while")
         silent = [peer.name for peer in peers if peer.zone == zone and peer.lives and peer.said is None]
         if silent and waited < PATIENCE:
-            return Finding(Loss.UNKNOWN, None, f"{silent[0]} of its own sala has not answered yet")
-        why = f"{survivors[0].name} was up all the while, and of {zone or 'its sala'} nobody"
+            return Finding(Loss.UNKNOWN, None, f"{silent[0]} of its own zone has not answered yet")
+        why = f"{survivors[0].name} was up all the while, and of {zone or 'its zone'} nobody"
         return Finding(Loss.ZONE, lost | {zone}, why)
     beginning = [peer for peer in peers if peer.beginning]
     back = len(beginning) + 1
--- a/granitepoint/recovery/overlay.py
+++ b/granitepoint/recovery/overlay.py
@@ -29,7 +29,7 @@
         self.answers: dict[str, float] = {}  # since when
         self.broken: dict[str, int] = {}
         self.out: frozenset[str] = frozenset()  # for maintenance since before
-        self.lost: frozenset[str] | None = frozenset()  # salas; None: all
+        self.lost: frozenset[str] | None = frozenset()  # zones; None: all
         self.proxies: tuple[str, ...] = (me,)
         self.over = False
         self.fell_at = float("-inf")
@@ -96,7 +96,7 @@
 
     # what is known
     def happened(self, lost: frozenset[str] | None, proxies: Collection[str]) -> bool:
-        """Which salas lost power, and which proxies of the tier live; whether lists change by it."""
+        """Which zones lost power, and which proxies of the tier live; whether lists change by it."""
         order = tuple(sorted({self.me, *proxies}))
         changed = (lost, order) != (self.lost, self.proxies)
         relevant = changed and (bool(lost) or lost is None or bool(self.lost) or self.lost is None)
--- a/granitepoint/recovery/phases.py
+++ b/granitepoint/recovery/phases.py
@@ -73,7 +73,7 @@
     NO_SERVERS = "no server answers"
     SERVERS = "a server answers"
     ALONE = "this process or machine alone ended"
-    LOST = "a sala or everybody lost power"
+    LOST = "a zone or everybody lost power"
     ASKED = "it was asked for long enough"
     SURE = "the view has settled and the list is fresh"
     WAITED = "that was waited for long enough"
--- a/granitepoint/recovery/service.py
+++ b/granitepoint/recovery/service.py
@@ -47,7 +47,7 @@
 PORT = 2  # of this part's words and datagrams, among those that stand on the fleet
 TICK = 0.25  # s between two looks
 QUESTION, ANSWER = b"?", b"!"  # to members: what do you say of your recovery?
-MOST_ASKED = 4  # members at one look, of the own sala and of others
+MOST_ASKED = 4  # members at one look, of the own zone and of others
 MOST_ANSWERS = 20_000  # members
 PROBES = 4.0  # a second of a server that does not answer yet, by all proxies together
 MOST_PROBES = 8  # at one look
@@ -281,7 +281,7 @@
         return found
 
     def _inquire(self) -> None:
-        """Some of those that have not answered this process yet are asked; its own sala first."""
+        """Some of those that have not answered this process yet are asked; its own zone first."""
         assert self.view is not None and self.channel is not None
         living = [m for m in self.view.members() if m.state == "alive" and m.key != self.view.me]
         silent = [m for m in living if m.key not in self.answers or self.answers[m.key].phase < Phase.STEADY]
@@ -336,7 +336,7 @@
             self.driver.probe(waiting[self.looked % len(waiting)].entry.server)
 
     def _lost(self) -> frozenset[str] | None:
-        """Salas whose servers are held cold. While the cause is asked for nothing is marked, for a mark
+        """Zones whose servers are held cold. While the cause is asked for nothing is marked, for a mark
         can't be taken back; the bound on calls holds meanwhile."""
         return frozenset() if self.finding.loss is Loss.UNKNOWN else self.finding.lost
 
--- a/granitepoint/recovery/trust.py
+++ b/granitepoint/recovery/trust.py
@@ -24,7 +24,7 @@
 
     PROCESS = "this process alone ended"
     MACHINE = "this machine ended"
-    ZONE = "the sala lost power"
+    ZONE = "the zone lost power"
     FLEET = "everybody did"
     UNKNOWN = "not known yet"
 
@@ -97,7 +97,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Situation:
-    """`now`: wall, s; `lost`: salas that lost power, where not all did; `seen`: the latest time that anything
+    """`now`: wall, s; `lost`: zones that lost power, where not all did; `seen`: the latest time that anything
     trustworthy has said (a store's newest fact, members); `damaged`: some of what was safe is lost."""
 
     now: float
--- a/granitepoint/websocket/envelope.py
+++ b/granitepoint/websocket/envelope.py
@@ -1,6 +1,6 @@
 """The messages of message mode: JSON texts, one object each. docs/operators/websocket.md is their page.
 
-From a client: `{"id": "9b1f", "class": "stock", "budget_ms": 480, "path": "/estacion/7?x=1", "key": "...",
+From a client: `{"id": "9b1f", "class": "read", "budget_ms": 480, "path": "/place/7?x=1", "key": "...",
 "subject": "...", "again": true, "body": "...", "seen": 12}`; id and class are needed. To a client: a hello
 first, then one outcome for each message taken.
 """
--- a/rigs/ledger.py
+++ b/rigs/ledger.py
@@ -40,6 +40,7 @@
 
     kind: str
     window: float = 0.0
+    everywhere: bool = False  # by_key: all servers know the key, so a refusal is harmless (WIRE, rule 2)
 
 
 @dataclass(slots=True)
@@ -202,7 +203,7 @@
                 continue
             ran = [attempt for attempt in mine if attempt.ran]
             answer = answers.get(taken.call)
-            if ran and answer is not None and answer.code in REFUSED:
+            if ran and answer is not None and answer.code in REFUSED and not effect.everywhere:
                 yield Violation(2, f"call {taken.call} ran and was refused as harmless to repeat", answer.at)
             if effect.kind == "once":
                 if len(ran) > 1:
