--- a/granitepoint/assembly.py
+++ b/granitepoint/assembly.py
@@ -95,7 +95,6 @@
         self.driver = Driver(
             config, outer_filters(budgets, called, config, self.recovery), chained(overlays)
         )
-        self.ends = 0.0  # when all is to be over, once it is known
         self.subsystems: list[Subsystem] = []
         if membership is not None:
             from granitepoint.membership.source import Membership as Source
@@ -155,7 +154,6 @@
 
     def end_by(self, end_by: float) -> None:
         """All that is open is to be over by then; sessions begin to end now."""
-        self.ends = end_by
         self.driver.end_all_by(end_by)
         if self.front is not None:
             self.front.drain(end_by)
@@ -168,7 +166,7 @@
         await wind_down(
             self.server,
             lambda: bool(self.driver.calls) or self.server.inflight > 0 or (front is not None and front.owes),
-            self.ends,
+            self.driver.end_by,
         )
 
     def stop(self) -> None:
--- a/granitepoint/net/freshness.py
+++ b/granitepoint/net/freshness.py
@@ -28,7 +28,7 @@
 
     pushed: bool  # tries never end: each list counts as told when the agent has it
     hold: float  # that a call may wait, in the mean
-    spread: float  # of it, round it
+    spread: float  # within which waits lie, round the mean
     patience: float  # beyond its wait, after which a call has fallen silent
     owed: float  # after that, within which calls follow one another until one is answered
     call: float  # for the answer to a call that does not wait, or for the rest of one that has begun
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -290,7 +290,6 @@
         self.waiting.clear()
         self.server.place(self, None)
         self.server.connections.discard(self)
-        self.server.unheard.discard(self)
         self._free()
         source, self.source = self.source, None
         if source is not None:
@@ -318,10 +317,8 @@
             pause = self.full or bool(self.waiting) or self.body.full
             if pause and not self.paused:
                 self.transport.pause_reading()
-                self.server.unheard.add(self)
             elif self.paused and not pause:
                 self.transport.resume_reading()
-                self.server.unheard.discard(self)
                 if self.early is not None and self.table is not None:
                     self.server.place(self, self.table)  # that nothing came was not the caller's doing
             self.paused = pause
@@ -377,7 +374,6 @@
         assert transport is not None
         self.server.place(self, None)
         self.server.connections.discard(self)
-        self.server.unheard.discard(self)
         self.answering = self.switching = False
         self.leaving = True
         self.call = self.transport = self.parser = None
@@ -729,7 +725,6 @@
         self.fresh: dict[ClientConnection, None] = {}  # owe a whole request
         self.kept: dict[ClientConnection, None] = {}  # answered, and asking nothing
         self.leaving: dict[ClientConnection, None] = {}  # have had their last answer
-        self.unheard: set[ClientConnection] = set()  # not read from for now, so their end is not seen
         self.draining = False  # each answer is the last on its connection
         self.listener: asyncio.Server | None = None
         self.sweep_due = 0.0
@@ -842,6 +837,7 @@
     def _look_for_ends(self) -> None:
         """A caller that leaves while it is not read from is told by its socket alone. What it wanted is not
         sent on, and its place serves another."""
-        asked = {c.transport: c for c in self.unheard if c.call is not None and c.transport is not None}
+        unheard = (c for c in self.connections if c.paused and c.call is not None)
+        asked = {c.transport: c for c in unheard if c.transport is not None}
         for transport in ended(asked):
             asked[cast(asyncio.Transport, transport)].abort()
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from netkit import PATIENCE, Backend, endpoint, listing, proxy, read_message, response, run
+from netkit import PATIENCE, Backend, Proxy, endpoint, listing, proxy, read_message, response, run
 from netkit import Discovery as SilentDiscovery
 
 from granitepoint.net.discovery import Discovery
@@ -254,6 +254,16 @@
             return await self.asked.get()
 
 
+async def goes_to_the_other(node: Proxy, agent: Agent, leaves: Backend, stays: Backend) -> None:
+    """Once the proxy asks from the agent's second version, it has the first's change."""
+    while "from=2&" not in await agent.call():
+        pass
+    caller = await node.caller()
+    for number in range(20):
+        assert (await caller.call("stock", f"{number:016x}")).code == 200
+    assert (leaves.count, stays.count) == (0, 20)
+
+
 def test_where_lists_are_pushed_a_new_process_asks_at_once_and_is_told_of_a_drain() -> None:
     """Nothing asked an agent before: the module waits to be told where lists are pushed."""
 
@@ -263,12 +273,7 @@
         async with proxy({"s-1": leaves, "s-2": stays}, agent, discovery="push") as node:
             assert "from=1&" in await agent.call()
             await agent.tell(endpoint("s-1", leaves.address, "Terminating"))
-            while "from=2&" not in await agent.call():
-                pass
-            caller = await node.caller()
-            for number in range(20):
-                assert (await caller.call("stock", f"{number:016x}")).code == 200
-            assert (leaves.count, stays.count) == (0, 20)
+            await goes_to_the_other(node, agent, leaves, stays)
 
     run(test())
 
@@ -284,12 +289,7 @@
             for _ in range(5):
                 assert "from=1&" in await agent.call()
             agent.down = False
-            while "from=2&" not in await agent.call():
-                pass
-            caller = await node.caller()
-            for number in range(20):
-                assert (await caller.call("stock", f"{number:016x}")).code == 200
-            assert (leaves.count, stays.count) == (0, 20)
+            await goes_to_the_other(node, agent, leaves, stays)
 
     run(test())
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -93,13 +93,13 @@
         async with asyncio.timeout(PATIENCE):
             call = await holding.taken.get()
             if sent is LONG:  # the proxy stops reading, so it is never sent whole
-                while not server.unheard:
+                while not any(connection.paused for connection in server.connections):
                     await asyncio.sleep(0)
                 writing.cancel()
             await asyncio.wait([writing])
             end(raw)
             assert await holding.gone.get() is call
-            while server.connections or server.unheard:
+            while server.connections:
                 await asyncio.sleep(0)
         assert holding.gone.empty() and holding.taken.empty()
         raw.close()
