A window that one early bad sign left far too low grows again as at the start

After 16 answers in time in a row, with W what limits, W grows by half each round again until the next bad sign. At the point where W stands still, a fifth late, 3 of 100 such rows happen by chance.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -60,6 +60,7 @@
 LEAST_WINDOW = 2.0  # calls; W does not recover well from less
 LEAST_PER_SERVER = 2.0  # calls for each server that the first tier's instances share, if these are the more
 MOST_STEP = 0.3  # share of W that one call moves it by at most
+SURE = 16  # answers in time in a row after which W is far too low: with LATE_SHARE late, 3 of 100 such rows
 LEAST_LATENCY = 1e-4  # s; no answer counts as quicker, so that means stay above 0
 FIRST_WINDOW = 4.0  # calls, where W starts before anything is known
 SUNK = 0.5  # added to ST's weight per tier above: work done there is lost by a refusal here
@@ -328,7 +329,8 @@
         self.history: deque[float] = deque(maxlen=HISTORY)
         self.window = FIRST_WINDOW
         self.least = LEAST_WINDOW
-        self.starting = True  # W doubles each round until the first bad sign
+        self.starting = True  # W grows by half each round until the first bad sign
+        self.good_row = 0  # answers within their target since, while W was what limited
         self.cut, self.tie = -math.inf, 0.0
 
     @property
@@ -353,12 +355,18 @@
         return min(MOST_STEP * self.window, 1 / math.sqrt(self.window))
 
     def good(self, busy: float) -> None:
-        """An answer within its target. W grows only while it is what limits."""
+        """An answer within its target. W grows only while it is what limits. A long row of these tells that W
+        is far below where it would stand: it grows as at the start. Guards against one bad sign in the first
+        seconds of an instance that gets several times the others' calls: at a quarter of a call a round W
+        would need minutes, and meanwhile all but the dearest calls are refused. Harm: by chance W rises by a
+        few calls too many now and then."""
         if busy + 1 >= SLACK * self.window:
+            self.good_row += 1
+            self.starting |= self.good_row >= SURE
             self.window += 0.5 if self.starting else LATE_SHARE / (1 - LATE_SHARE) * self.step()
 
     def bad(self) -> None:
-        self.starting = False
+        self.starting, self.good_row = False, 0
         self.window = max(self.least, self.window - self.step())
 
     def rescale(self, ratio: float) -> None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -218,6 +218,48 @@
     run(test())
 
 
+def test_one_bad_sign_at_the_start_does_not_keep_the_window_shut() -> None:
+    """An instance that gets several times the others' calls: after one early error it takes the calls that
+    its server bears, and does not refuse them for minutes."""
+    service, callers, wanted = 0.25, 60, 40  # s, that the server takes for each call; at once
+
+    async def test() -> None:
+        out = most = 0
+        answered = asyncio.Event()
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            nonlocal out, most
+            if backend.count == 1:
+                writer.write(response(500))
+                return
+            out += 1
+            most = max(most, out)
+            await asyncio.sleep(service)
+            out -= 1
+            writer.write(response(200, b"done"))
+            if most >= wanted or backend.count > 400:  # from 4, by a quarter call a round, it would be at 29
+                answered.set()
+
+        async def calls(number: int) -> None:
+            caller = await node.caller()
+            for count in range(1000):
+                answer = await caller.call("canje", f"{number:08x}{count:08x}", budget="20000m")
+                if answer.code == 503:
+                    await asyncio.sleep(float(answer.headers["retry-after"]))
+
+        backend = Backend(behave)
+        grade = {**SETTINGS["grades"][2], "aim": 20.0, "deadline": 20.0}
+        async with proxy({"s-1": backend}, grades=[*SETTINGS["grades"][:2], grade]) as node:
+            asking = [asyncio.create_task(calls(number)) for number in range(callers)]
+            async with asyncio.timeout(PATIENCE):
+                await answered.wait()
+            for task in asking:
+                task.cancel()
+            assert most >= wanted, f"at most {most} calls were out at once"
+
+    run(test())
+
+
 def test_a_late_answer_reaches_nobody() -> None:
     """A timed out attempt gives up its connection: its answer must not become that of the next call."""
 
