An answer that is passed on for its size no longer leaves a timer that passes on the next one

Cause: net/upstream.py _pass_on set holding = None without cancelling the timer when the answer grew over MOST_BODY. The timer (50 ms) then fired on whatever exchange used the connection next: a 200 begun for nothing, cut off by a reset, or a 500's body passed on as a 200.

The timer is cancelled in one place. The test fails without it: 200 in place of 502.

--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -302,7 +302,7 @@
     # an answer that is passed on
     def _pass_on(self) -> None:
         """What has come goes on, and so does the rest, as it comes."""
-        self.holding = None
+        self._hold_no_more()
         exchange = self.exchange
         if exchange is None or self.answer is not None:
             return
@@ -347,11 +347,15 @@
             self._end_relay()
         self.abandon()
 
-    def _let_go(self) -> None:
-        """What belonged to the exchange that is over."""
+    def _hold_no_more(self) -> None:
+        """A timer that outlived its answer would pass on the next one, unread, as a 200."""
         if self.holding is not None:
             self.holding.cancel()
             self.holding = None
+
+    def _let_go(self) -> None:
+        """What belonged to the exchange that is over."""
+        self._hold_no_more()
         if self.writing is not None:
             self.writing.reader = None
             self.writing = None
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -12,6 +12,7 @@
 from netkit import PATIENCE, Backend, Caller, Proxy, Seen, proxy, read_message, response, run
 
 from granitepoint.net.bodies import WINDOW, Body
+from granitepoint.net.upstream import HOLD_BACK
 
 MB = 1 << 20
 LONG = 32 * MB  # bytes; the longest that the operators have seen
@@ -148,6 +149,43 @@
     run(test())
 
 
+def test_an_answer_that_grew_long_while_it_was_held_back_does_not_pass_on_the_next_one() -> None:
+    """Found on zone+brink: the timer of what is held back went on when the answer was passed on for its size,
+    and then made a 200 of whatever the next call on that connection was answered with, or of nothing."""
+
+    async def test() -> None:
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            if backend.count > 1:
+                await asyncio.sleep(2 * HOLD_BACK)  # until the timer would have fired
+                writer.write(response(500, b"a fault"))
+                return
+            ports = writer.get_extra_info("sockname")[1], writer.get_extra_info("peername")[1]
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(b"a" * 1000))
+            while unread(*ports):  # the first part is read alone, and held back
+                await asyncio.sleep(0)
+            writer.write(chunk(PIECE) + chunk(PIECE) + chunk(b""))
+
+        backend = Backend(behave)
+        async with proxy({"s-1": backend}) as node:
+            caller = await node.caller()
+            caller.send("canje", "a" * 16)
+            code, headers = await head_of(caller)
+            assert code == 200 and (await rest_of(caller, headers, at_once))[1] == 1000 + 2 * len(PIECE)
+            answer = await caller.call("canje", "b" * 16)
+            assert (answer.code, backend.count, backend.connections) == (502, 2, 1)
+
+    run(test())
+
+
+def unread(here: int, there: int) -> int | None:
+    """Bytes from port `here` that the process at `there` has not read, by the kernel's table (proc(5),
+    net/tcp); None once the connection is no more."""
+    for row in map(str.split, Path("/proc/net/tcp").read_text().splitlines()[1:]):
+        if row[1].endswith(f":{there:04X}") and row[2].endswith(f":{here:04X}"):
+            return int(row[4].partition(":")[2], 16)
+    return None
+
+
 def test_a_caller_that_leaves_in_the_middle_ends_the_answer_at_its_backend() -> None:
     async def test() -> None:
         backend = answers(LENGTH)
