After a stall an answer that is held back waits for what its socket holds, reset or end

Timers come before sockets, so the answer was begun as a 200 and cut off, in place of a second attempt (safe) or a 502. The stall is seen by the timer's lateness as elsewhere (LATE, ONE_TURN).

--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -274,7 +274,8 @@
             self.moved_at = self.upstream.heard_at
         elif self.size and self.length is None and self.holding is None and self.exchange is not None:
             if self.exchange.counts and self.parser.get_status_code() == 200:
-                self.holding = self.upstream.owner.loop.call_later(HOLD_BACK, self._pass_on)
+                due = self.upstream.heard_at + HOLD_BACK
+                self.holding = self.upstream.owner.loop.call_later(HOLD_BACK, self._held_back, due)
 
     def _hand_on(self) -> None:
         """The answer is whole."""
@@ -300,12 +301,22 @@
             exchange.answered(code, headers, body)
 
     # an answer that is passed on
+    def _held_back(self, due: float) -> None:
+        if time.monotonic() > due + LATE:
+            # This process stood still, and timers come before sockets: its end, or a reset that makes it an
+            # attempt that failed, may have come meanwhile.
+            self.holding = self.upstream.owner.loop.call_later(ONE_TURN, self._pass_on)
+        else:
+            self._pass_on()
+
     def _pass_on(self) -> None:
         """What has come goes on, and so does the rest, as it comes."""
         self._hold_no_more()
         exchange = self.exchange
         if exchange is None or self.answer is not None:
             return
+        if self.transport is None or self.transport.is_closing():
+            return  # its connection is lost, and about to say so
         self.exchange = None
         headers, self.headers = self.headers, []
         body, self.body = self.body, []
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -5,6 +5,9 @@
 import asyncio
 import contextlib
 import hashlib
+import signal
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -186,6 +189,39 @@
     return None
 
 
+@pytest.mark.parametrize("length", [1000, 30_000])
+def test_a_reset_that_came_while_the_process_stood_still_leaves_nothing_passed_on(length: int) -> None:
+    """An answer of unknown length is held back for a while, so that one that is reset on the way is an
+    attempt that failed. After a stall that while is over before the reset is read."""
+
+    async def test() -> None:
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            if backend.count > 1:
+                writer.write(response(200, b"whole"))
+                return
+            raw = writer.get_extra_info("socket")
+            ports = raw.getsockname()[1], raw.getpeername()[1]
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + b"a" * length)
+            while unread(*ports):
+                await asyncio.sleep(0)
+            node.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(2 * HOLD_BACK)  # the stall itself
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+            while unread(*ports) is not None:
+                await asyncio.sleep(0)
+            node.process.send_signal(signal.SIGCONT)
+
+        backend = Backend(behave)
+        async with proxy({"s-1": backend}) as node:
+            caller = await node.caller()
+            answer = await caller.call("stock", "a" * 16)
+            assert (answer.code, answer.body) == (200, b"whole")
+            assert backend.count == 2
+
+    run(test())
+
+
 def test_a_caller_that_leaves_in_the_middle_ends_the_answer_at_its_backend() -> None:
     async def test() -> None:
         backend = answers(LENGTH)
