An answer that still comes at the end after SIGTERM no longer keeps the process past SIGKILL

Cause: assembly.wind_down waited for what is owed without a bound; end_all_by binds open calls, but an answer that is passed on is no open call any more. What is owed ends LAST_BYTES after `ends`, 0.1 s before the kill; a stream that is whole by then is whole, another is cut off so that its client can tell. Exit code 0, no traceback. SIGTERM before it is ready has a test, too (at once, and with no list): no fault was found there.

--- a/granitepoint/assembly.py
+++ b/granitepoint/assembly.py
@@ -9,6 +9,7 @@
 import asyncio
 import gc
 import logging
+import math
 import time
 from collections import Counter
 from collections.abc import Callable, Sequence
@@ -264,15 +265,17 @@
 
 
 async def wind_down(server: Server, owes: Callable[[], bool], ends: float = 0.0) -> None:
-    """The end of a listener: what it owes is answered, and the last bytes are given time to leave, also
-    beyond `ends` where that is still to come."""
+    """The end of a listener: what it owes is answered, and the last bytes are given time to leave. `ends`:
+    when all that is decided here has been answered; an answer that still comes on LAST_BYTES later is broken
+    off, and its caller can tell. 0: there is no such time."""
     server.draining = True
     server.close_idle()
-    while owes():
+    last = ends + LAST_BYTES if ends else math.inf
+    while owes() and time.monotonic() < last:
         server.close_idle(partial=True)
         await asyncio.sleep(DRAIN_STEP)
-    # All is answered; the last bytes may still be on their way to a slow peer, or a request to us.
-    last = max(ends, time.monotonic()) + LAST_BYTES
+    # The last bytes may still be on their way to a slow peer, or a request to us.
+    last = min(last, max(ends, time.monotonic()) + LAST_BYTES)
     while server.connections and time.monotonic() < last:
         server.close_idle(partial=True)
         await asyncio.sleep(DRAIN_STEP)
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -3,17 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import copy
+import select
+import signal
 import socket
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
 import uvloop
-from netkit import PATIENCE, SETTINGS, Backend, Caller, Seen, next_call, proxy, run
+from netkit import (
+    PATIENCE,
+    SETTINGS,
+    Backend,
+    Caller,
+    Discovery,
+    Seen,
+    config,
+    listing,
+    next_call,
+    proxy,
+    run,
+    start_program,
+)
 
 from granitepoint.interface import Effect
 from granitepoint.net.server import KEPT, WHOLE, ClientConnection, Server
+from rigs.program import free_port
 
 KILL = 3.0 + 0.7  # s after SIGTERM at which SIGKILL may come, where the longest deadline is 3 s or more
 
@@ -146,3 +164,87 @@
             assert backend.count == 1
 
     run(test())
+
+
+@pytest.mark.parametrize("ends", [True, False], ids=["its backend goes on", "its backend stands still"])
+def test_an_answer_that_comes_on_at_sigterm_goes_on_until_the_kill_and_is_whole_or_seen_not_to_be(
+    ends: bool,
+) -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        rest, half = asyncio.Event(), b"a" * 100_000
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + half)
+            await rest.wait()
+            writer.write(half)
+
+        backend = Backend(behave)
+        async with proxy({"s-1": backend}, grades=grades()) as node:
+            caller, other = await node.caller(), await node.caller()
+            caller.send("canje", "a" * 16, budget="9000m")
+            async with asyncio.timeout(PATIENCE):
+                assert (await caller.reader.readexactly(100_000)).startswith(b"HTTP/1.1 200 ")
+            node.terminate()
+            begun = loop.time()
+            answer = await other.raw(request("404").replace(b"/stock", b"/nosuch"))
+            assert answer.code == 404  # it still serves after the signal
+            if ends:
+                rest.set()
+            async with asyncio.timeout(PATIENCE):
+                read = b""
+                with contextlib.suppress(ConnectionError):
+                    read = await caller.reader.read(-1)
+            assert (read.endswith(half)) == ends and len(read) < len(half) + 100 * (1 + ends)
+            assert await node.code() == 0
+            assert loop.time() - begun < KILL
+            rest.set()
+
+    run(test())
+
+
+def test_answers_that_nobody_takes_do_not_keep_the_process_beyond_the_kill() -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n")
+            with contextlib.suppress(ConnectionError):
+                for _ in range(300):
+                    writer.write(b"a" * 100_000)
+                    await writer.drain()
+
+        backend = Backend(behave)
+        async with proxy({"s-1": backend}, grades=grades()) as node:
+            raw = socket.create_connection(node.address)
+            raw.send(request("1").replace(b"/stock", b"/stock?"))
+            await next_call(backend)
+            while not select.select([raw], [], [], 0)[0]:  # it has begun to come, and is not read
+                await asyncio.sleep(0)
+            node.terminate()
+            begun = loop.time()
+            assert await node.code() == 0
+            assert loop.time() - begun < KILL
+            raw.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("when", ["at once", "while it has no list"])
+def test_sigterm_before_it_is_ready_ends_it_without_a_traceback(when: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        discovery = await Discovery().start()
+        raw = config(discovery.address, listing(1), f"127.0.0.1:{free_port()}")
+        process = await start_program(raw, str(tmp_path))
+        assert process.stderr is not None
+        if when != "at once":
+            async with asyncio.timeout(PATIENCE):
+                assert (await discovery.asked.get()).startswith("/v1/servers")
+        process.terminate()
+        async with asyncio.timeout(PATIENCE):
+            code = await process.wait()
+            assert b"Traceback" not in await process.stderr.read()
+        # Before the loop runs nothing was taken, and the signal ends it in its own way.
+        assert code == 0 or (when == "at once" and code == -signal.SIGTERM)
+
+    run(test())
