The listener does not close on who has connected and was not accepted yet

Forced on loopback by a stall: the timer runs before the sockets are read, the listener closed, and the kernel reset a connection whose request it had taken. The drain looks at the listening socket first and gives the loop turns while somebody waits there, up to the time at which kept connections close. Without it the client's connection is reset.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -15,6 +15,7 @@
 
 from granitepoint.assembly import Proxy, Sparse, budgets_of, fleet_keys, settle
 from granitepoint.net.config import Config, ConfigError, load, reread_discovery
+from granitepoint.net.limits import ONE_TURN
 
 if TYPE_CHECKING:
     from granitepoint.operator import Operator
@@ -41,9 +42,11 @@
         await proxy.operations.hand_over()
         idle_from = LAST_UNUSED
     else:
+        idle_from = answered_by - WIND_DOWN
         await asyncio.sleep(LAST_ACCEPT)
+        while proxy.server.waited_for and time.monotonic() < begun + idle_from:
+            await asyncio.sleep(ONE_TURN)  # after a stall of this process, above all
         proxy.server.stop_listening()
-        idle_from = answered_by - WIND_DOWN
     await asyncio.sleep(max(0.0, begun + idle_from - time.monotonic()))
     await proxy.finish()
 
--- a/granitepoint/net/polling.py
+++ b/granitepoint/net/polling.py
@@ -12,6 +12,13 @@
     return bool(_found([transport], select.POLLIN))
 
 
+def waited_for(listener: int) -> bool:
+    """Whether somebody has connected to this listening descriptor and was not accepted yet."""
+    poll = select.poll()
+    poll.register(listener, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def ended(transports: Iterable[asyncio.BaseTransport]) -> list[asyncio.BaseTransport]:
     """Those whose peer sends no more, whatever bytes lie before its end."""
     return _found(transports, select.POLLRDHUP)
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -17,7 +17,7 @@
 from granitepoint.net.bodies import Body, chunk_of
 from granitepoint.net.fields import HOP_BY_HOP, closes, read_field
 from granitepoint.net.limits import LATE, ONE_TURN, UPSTREAM_SHARE
-from granitepoint.net.polling import ended, readable
+from granitepoint.net.polling import ended, readable, waited_for
 from granitepoint.net.protocols import Source, Switch
 
 log = logging.getLogger(__name__)
@@ -793,6 +793,11 @@
         self._sweep_later()
         return int(self.listener.sockets[0].getsockname()[1])
 
+    @property
+    def waited_for(self) -> bool:
+        """Whether a newcomer is still to be accepted: to close on it would reset what it has sent."""
+        return self.listener is not None and waited_for(self.fileno)
+
     def stop_listening(self) -> None:
         if self.listener is not None:
             self.listener.close()
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -29,6 +29,7 @@
     start_program,
 )
 
+from granitepoint.__main__ import LAST_ACCEPT
 from granitepoint.interface import Effect
 from granitepoint.net.server import KEPT, WHOLE, ClientConnection, Server
 from rigs.program import free_port
@@ -230,6 +231,26 @@
     run(test())
 
 
+def test_what_waits_in_the_listen_backlog_as_the_listener_closes_is_accepted_and_answered() -> None:
+    """After a stall timers come before sockets: the listener must not close on who came meanwhile."""
+
+    async def test() -> None:
+        backend = Backend()
+        async with proxy({"s-1": backend}) as node:
+            assert (await (await node.caller()).call("stock", "1" * 16)).code == 200
+            node.terminate()
+            assert (await (await node.caller()).call("stock", "2" * 16)).code == 200
+            node.process.send_signal(signal.SIGSTOP)
+            late = await node.caller()  # the kernel takes it, and its request
+            late.send("stock", "3" * 16)
+            await asyncio.sleep(LAST_ACCEPT)  # the stall itself
+            node.process.send_signal(signal.SIGCONT)
+            assert (await late.answer()).code == 200
+            assert await node.code() == 0
+
+    run(test())
+
+
 @pytest.mark.parametrize("when", ["at once", "while it has no list"])
 def test_sigterm_before_it_is_ready_ends_it_without_a_traceback(when: str, tmp_path: Path) -> None:
     async def test() -> None:
