--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -13,6 +13,7 @@
 import pytest
 from netkit import PATIENCE, Backend, Proxy, endpoint, listing, proxy, read_message, response, run
 from netkit import Discovery as SilentDiscovery
+from test_leaving import Unreachable
 
 from granitepoint.net.discovery import Discovery
 from granitepoint.net.freshness import MOVED_TOLD, WAITED_TOLD, Freshness, freshness
@@ -227,7 +228,7 @@
         super().__init__()
         self.version, self.entries = 1, list[dict[str, Any]]()
         self.news = asyncio.Condition()
-        self.down = False
+        self.down = self.whole = False
 
     async def tell(self, *entries: dict[str, Any]) -> None:
         async with self.news:
@@ -239,13 +240,13 @@
             while True:
                 target = (await read_message(reader))[0].split(" ")[1]
                 self.asked.put_nowait(target)
-                at = int(target.partition("from=")[2].partition("&")[0])
+                at = int(target.partition("from=")[2].partition("&")[0] or -1)  # without one: at once
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(int(target.partition("hold_ms=")[2]) / 1000), self.news:
+                    async with asyncio.timeout(int(target.partition("hold_ms=")[2] or 0) / 1000), self.news:
                         while self.version <= at:
                             await self.news.wait()
                 if not self.down:
-                    told = listing(self.version, *self.entries, snapshot=False)
+                    told = listing(self.version, *self.entries, snapshot=self.whole)
                     writer.write(response(200, json.dumps(told).encode()))
         writer.close()
 
@@ -322,3 +323,40 @@
         discovery.stop()
 
     run(test())
+
+
+def test_a_connection_to_discovery_that_never_comes_up_is_given_up_within_its_part_of_the_budget() -> None:
+    """Its backlog is full, so that the kernel answers no connect at all."""
+
+    async def test() -> None:
+        full = Unreachable()
+        host, _, port = full.address.rpartition(":")
+        watched = Watched(replace(QUICK, connect=0.05, first=60.0, call=60.0, moved=0.3))
+        discovery = await watched.against(Scripted())
+        discovery.move((host, int(port)))
+        await watched.failure()  # what is left of a call's minute would be longer than PATIENCE
+        discovery.stop()
+        full.close()
+
+    run(test())
+
+
+def test_sighup_under_a_silent_watch_leaves_the_old_address_unheard() -> None:
+    async def test() -> None:
+        old, new, leaves, stays = await SilentDiscovery().start(), Agent(), Backend(), Backend()
+        await new.start()
+        async with proxy({"s-1": leaves, "s-2": stays}, old) as node:
+            async with asyncio.timeout(PATIENCE):
+                assert "from=1&" in await old.asked.get()  # and it says nothing
+            new.version, new.entries = 7, [endpoint("s-2", stays.address)]
+            new.whole = True
+            node.reload(discovery=new.address)
+            while "from=7&" not in await new.call():
+                pass
+            old.put(9, endpoint("s-1", leaves.address), snapshot=True)  # too late: it is heard no more
+            caller = await node.caller()
+            for number in range(20):
+                assert (await caller.call("stock", f"{number:016x}")).code == 200
+            assert (leaves.count, stays.count) == (0, 20)
+
+    run(test())
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -158,6 +158,10 @@
             each.setblocking(False)
             each.connect_ex(self.listener.getsockname())
 
+    def close(self) -> None:
+        for each in (self.listener, *self.blocking):
+            each.close()
+
     async def tried(self, count: int) -> None:
         """Until so many connects of the proxy are on their way, by the kernel's table."""
         port = self.listener.getsockname()[1]
