Wrong settings: objects and lists in a value's place are refused, and messages say what to write

An object where one value is read is seen by the pairs' own parents, an empty one is kept as {} by flatten. All refusals now end in what to write; exit code 2 and one line as before.

--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -44,21 +44,21 @@
     FAILED = "failed"  # a watch or fetch failed, or the watch broke
 
 
-def _check(ok: bool, key: str, value: object) -> None:
+def _check(ok: bool, key: str, value: object, instead: str) -> None:
     if not ok:
-        raise ValueError(f"setting {key} is out of range: {value!r}")
+        raise ValueError(f"setting {key} is out of range: {value!r}; write {instead}")
 
 
 def _positive(owner: object, prefix: str, *keys: str) -> None:
     for key in keys:
         value = getattr(owner, key)
-        _check(math.isfinite(value) and value > 0, prefix + key, value)
+        _check(math.isfinite(value) and value > 0, prefix + key, value, "more than 0")
 
 
 def _not_negative(owner: object, prefix: str, *keys: str) -> None:
     for key in keys:
         value = getattr(owner, key)
-        _check(math.isfinite(value) and value >= 0, prefix + key, value)
+        _check(math.isfinite(value) and value >= 0, prefix + key, value, "0 or more")
 
 
 @dataclass(slots=True)
@@ -80,8 +80,9 @@
     def __post_init__(self) -> None:
         _positive(self, f"class {self.name} ", "aim", "deadline")
         _not_negative(self, f"class {self.name} ", "worth", "window", "aim_stretch", "late_worth", "attempts")
-        _check(self.late_worth <= 1, f"class {self.name} late_worth", self.late_worth)
-        _check(self.group in ("all", "zone", "cell"), f"class {self.name} group", self.group)
+        _check(self.late_worth <= 1, f"class {self.name} late_worth", self.late_worth, "a share from 0 to 1")
+        known = self.group in ("all", "zone", "cell")
+        _check(known, f"class {self.name} group", self.group, "all, zone or cell")
 
 
 @dataclass(slots=True)
@@ -150,20 +151,22 @@
     price_discovery: float = 0.0
 
     def __post_init__(self) -> None:
-        _check(bool(self.classes), "classes", self.classes)
-        _check(self.balancers >= 1, "balancers", self.balancers)
-        _check(self.me >= 0, "me", self.me)
-        _check(self.stage >= 0, "stage", self.stage)
-        _check(self.max_attempts >= 1, "max_attempts", self.max_attempts)
-        _check(0 < self.cold_from <= 1, "cold_from", self.cold_from)
-        _check(0 <= self.over_share_worth <= 1, "over_share_worth", self.over_share_worth)
-        _check(self.stages >= 1, "stages", self.stages)
-        _check(self.most_held >= 0, "most_held", self.most_held)
-        _check(self.calls_per_connection >= 1, "calls_per_connection", self.calls_per_connection)
-        _check(self.reports in ("answer", "probe", "none"), "reports", self.reports)
-        _check(self.weights in ("none", "nominal", "rough", "live"), "weights", self.weights)
+        _check(bool(self.classes), "classes", self.classes, "one class at least")
+        _check(self.balancers >= 1, "balancers", self.balancers, "1 or more")
+        _check(self.me >= 0, "me", self.me, "0 or more")
+        _check(self.stage >= 0, "stage", self.stage, "0 or more")
+        _check(self.max_attempts >= 1, "max_attempts", self.max_attempts, "1 or more")
+        _check(0 < self.cold_from <= 1, "cold_from", self.cold_from, "a share over 0, up to 1")
+        share = self.over_share_worth
+        _check(0 <= share <= 1, "over_share_worth", share, "a share from 0 to 1")
+        _check(self.stages >= 1, "stages", self.stages, "1 or more")
+        _check(self.most_held >= 0, "most_held", self.most_held, "0 or more")
+        _check(self.calls_per_connection >= 1, "calls_per_connection", self.calls_per_connection, "1 or more")
+        _check(self.reports in ("answer", "probe", "none"), "reports", self.reports, "answer, probe or none")
+        known = self.weights in ("none", "nominal", "rough", "live")
+        _check(known, "weights", self.weights, "none, nominal, rough or live")
         names = [cls.name for cls in self.classes]
-        _check(len(set(names)) == len(names), "classes", names)
+        _check(len(set(names)) == len(names), "classes", names, "each name once")
         _positive(self, "", "must_ask_within", "fall_multiple", "fall_within", "connect_timeout")
         _not_negative(
             self,
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -68,6 +68,8 @@
     """The settings object as the simulator's flat path=value pairs, so that both have one reader."""
     pairs = {} if into is None else into
     if isinstance(value, dict):
+        if not value and path:
+            pairs[path] = "{}"  # no value, and not left out either
         for key, item in value.items():
             flatten(item, f"{path}.{key}" if path else str(key), pairs)
     elif isinstance(value, list) and any(isinstance(item, dict) for item in value):
--- a/granitepoint/settings.py
+++ b/granitepoint/settings.py
@@ -5,10 +5,14 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from granitepoint import interface as api
 
 Fields = dict[str, str]
 
+EFFECTS = [effect.value for effect in api.Effect]
+DISCOVERY = ["push", "ask"]
 REPORT_NAMES = ("busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps")
 WEIGHTS = {"off": "none", "nominal": "nominal", "rough": "rough", "live": "live"}
 WORTH_BY = {"work": "work", "request": "request"}
@@ -16,37 +20,73 @@
 
 
 class FieldError(Exception):
-    """A field that is missing or can't be read; the message names it."""
+    """A field that is missing or can't be read; the message names it, and says what to write."""
+
+
+def _missing(key: str, instead: str) -> FieldError:
+    return FieldError(f"field {key} is missing: write {instead}")
+
+
+def _unreadable(key: str, fault: str, text: str, instead: str) -> FieldError:
+    return FieldError(f"field {key} {fault}: {text!r}; write {instead}")
+
+
+TEXT, WHOLE, NUMBER, TRUTH = "a text", "a whole number", "a number", "true or false"
+
+
+class _Pairs(Fields):
+    """Pairs of which each may be read as one value only where it is one: an object or a list in its place
+    must not pass for a value that was left out."""
+
+    def __init__(self, pairs: Fields) -> None:
+        super().__init__(pairs)
+        self.parents = {path[:at] for path in pairs for at, sign in enumerate(path) if sign == "."}
+
+    def _check(self, key: object) -> None:
+        if key in self.parents and not super().__contains__(key):
+            raise FieldError(f"field {key} is an object or a list of objects: write one value")
+
+    def get(self, key: str, default: Any = None) -> Any:
+        self._check(key)
+        return super().get(key, default)
+
+    def __contains__(self, key: object) -> bool:
+        self._check(key)
+        return super().__contains__(key)
+
+    def __getitem__(self, key: str) -> str:
+        self._check(key)
+        return super().__getitem__(key)
 
 
 def field_text(fields: Fields, key: str) -> str:
     try:
         return fields[key]
     except KeyError:
-        raise FieldError(f"field {key} is missing") from None
+        raise _missing(key, TEXT) from None
 
 
 def field_integer(fields: Fields, key: str) -> int:
     try:
         return int(fields[key])
     except KeyError:
-        raise FieldError(f"field {key} is missing") from None
+        raise _missing(key, WHOLE) from None
     except ValueError:
-        raise FieldError(f"field {key} is not a whole number: {fields[key]!r}") from None
+        raise _unreadable(key, "is not a whole number", fields[key], WHOLE) from None
 
 
 def field_number(fields: Fields, key: str, default: float | None = None) -> float:
     text = fields.get(key)
     if text is None:
         if default is None:
-            raise FieldError(f"field {key} is missing")
+            raise _missing(key, NUMBER)
         return default
     try:
         value = float(text)
     except ValueError:
-        raise FieldError(f"field {key} is not a number: {text!r}") from None
+        raise _unreadable(key, "is not a number", text, NUMBER) from None
     if value - value != 0.0:
-        raise FieldError(f"field {key} is not finite: {text!r}")
+        raise _unreadable(key, "is not finite", text, NUMBER)
     return value
 
 
@@ -58,19 +98,30 @@
         return True
     if text in ("0", "false"):
         return False
-    raise FieldError(f"field {key} is " + ("missing" if text is None else f"not a truth value: {text!r}"))
+    raise _missing(key, TRUTH) if text is None else _unreadable(key, "is not a truth value", text, TRUTH)
 
 
 def field_integer_or(fields: Fields, key: str, default: int) -> int:
     return field_integer(fields, key) if key in fields else default
 
 
+def _count(fields: Fields, key: str, default: int | None = None) -> int:
+    """Of a list of objects."""
+    listed = key + ".count" in fields
+    plain = dict.get(fields, key)
+    if not listed and plain:  # the simulator writes an empty list as an empty text
+        raise _unreadable(key, "is no list of objects", plain, "[{...}]")
+    if not listed and default is None:
+        raise _missing(key, "[{...}]")
+    return field_integer_or(fields, key + ".count", default or 0)
+
+
 def _choice(fields: Fields, key: str, words: dict[str, str], default: str) -> str:
     text = fields.get(key, "")
     if not text:
         return default
     if text not in words:
-        raise ValueError(f"setting {key} is out of range: {text!r}")
+        raise _unreadable(key, "is out of range", text, " or ".join(words))
     return words[text]
 
 
@@ -81,21 +132,24 @@
 def read_settings(params: Fields) -> api.Settings:
     """Settings from the flat path=value pairs; unknown keys are skipped, missing ones raise ValueError."""
     try:
-        return _settings(params)
+        return _settings(_Pairs(params))
     except FieldError as fault:
         raise ValueError(str(fault).replace("field", "setting", 1)) from None
 
 
 def _settings(params: Fields) -> api.Settings:
     classes = []
-    for n in range(field_integer(params, "grades.count")):
+    for n in range(_count(params, "grades")):
         path = f"grades.{n}."
+        name = field_text(params, path + "name")
+        if not name:
+            raise _unreadable(path + "name", "is empty", name, "the first part of its requests' path")
         effect = field_text(params, path + "effect")
-        if effect not in ("repeatable", "by_key", "once"):
-            raise ValueError(f"setting {path}effect is out of range: {effect!r}")
+        if effect not in EFFECTS:
+            raise _unreadable(path + "effect", "is out of range", effect, " or ".join(EFFECTS))
         classes.append(
             api.RequestClass(
-                name=field_text(params, path + "name"),
+                name=name,
                 worth=field_number(params, path + "value"),
                 aim=field_number(params, path + "objective"),
                 deadline=field_number(params, path + "deadline"),
@@ -109,13 +163,13 @@
             )
         )
     tenants = []
-    for n in range(field_integer_or(params, "tenants.count", 0)):
+    for n in range(_count(params, "tenants", 0)):
         path = f"tenants.{n}."
         quota, share = field_number(params, path + "quota_rps"), field_number(params, path + "portion", 0.0)
         tenants.append(api.Tenant(field_text(params, path + "name"), quota, share))
     discovery = field_text(params, "discovery")
-    if discovery not in ("push", "ask"):
-        raise ValueError(f"setting discovery is out of range: {discovery!r}")
+    if discovery not in DISCOVERY:
+        raise _unreadable("discovery", "is out of range", discovery, " or ".join(DISCOVERY))
     limits = "policy_limits."
     return api.Settings(
         classes=classes,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -236,3 +236,42 @@
 def test_the_look_for_names_finds_one() -> None:
     assert found_names('if cls == "Weighing":', {"weighing"}) == {"weighing"}
     assert not found_names("outweighing", {"weighing"})
+
+
+WRONG = {
+    "an empty name": (("grades", 0, "name"), "", "grades.0.name is empty: ''; write the first part of"),
+    "a name that is an object": (("grades", 0, "name"), {"a": 1}, "grades.0.name is an object"),
+    "no deadline": (("grades", 1, "deadline"), None, "grades.1.deadline is missing: write a number"),
+    "a deadline of 0": (("grades", 1, "deadline"), 0, "deadline is out of range: 0.0; write more than 0"),
+    "an aim below 0": (("grades", 1, "objective"), -1, "aim is out of range: -1.0; write more than 0"),
+    "a worth of NaN": (("grades", 1, "value"), float("nan"), "value is not finite: 'nan'; write a number"),
+    "a worth in words": (("grades", 1, "value"), "much", "value is not a number: 'much'; write a number"),
+    "an effect of its own": (("grades", 2, "effect"), "twice", "'twice'; write repeatable or by_key or once"),
+    "classes that are no list": (("grades",), "x", "grades is no list of objects: 'x'; write [{...}]"),
+    "no classes": (("grades",), None, "grades is missing: write [{...}]"),
+    "tenants that are no list": (("tenants",), "x", "tenants is no list of objects: 'x'; write [{...}]"),
+    "tenants by their names alone": (("tenants",), ["a", "b"], "tenants is no list of objects: 'a,b'"),
+    "an empty object for a figure": (("policy_limits", "conn_idle"), {}, "conn_idle is not a number: '{}'"),
+    "an object for a figure": (("policy_limits", "conn_idle"), {"s": 3}, "conn_idle is an object or"),
+    "a list for a figure": (("contract", "drain_grace"), [1, 2], "drain_grace is not a number: '1,2'"),
+    "half an attempt": (("policy_limits", "send_cap"), 1.5, "send_cap is not a whole number: '1.5'"),
+    "a truth in words": (("policy_limits", "may_cancel"), "yes", "'yes'; write true or false"),
+    "a discovery of its own": (("discovery",), "poll", "'poll'; write push or ask"),
+}
+
+
+@pytest.mark.parametrize(("path", "value", "said"), WRONG.values(), ids=list(WRONG))
+def test_wrong_settings_are_refused_with_the_key_and_what_to_write(
+    path: tuple[str | int, ...], value: object, said: str
+) -> None:
+    made: Any = config("127.0.0.1:1", listing(1), "127.0.0.1:0")
+    assert read_config(made, {})
+    place = made["settings"]
+    for key in path[:-1]:
+        place = place[key]
+    if value is None:
+        del place[path[-1]]
+    else:
+        place[path[-1]] = value
+    with pytest.raises(ValueError, match=re.escape(said)):
+        read_config(made, {})
