Tests: a cold server under what fells it, over sixty instances together, by the platform's figure

On sockets it would want dozens of proxies, so it is forced on the module: sixty instances hear of a restart in one moment, and N + 3 root N + 3 bounds all they send.

--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -5,7 +5,8 @@
 from random import Random
 
 import hypothesis.strategies as st
-from helpers import CLASSES, Driver, entries, settings
+import pytest
+from helpers import CLASSES, Driver, entries, sends, settings
 from hypothesis import HealthCheck, given
 from hypothesis import settings as checks
 
@@ -200,3 +201,50 @@
         sent = sum(1 for t in cold if start <= t < start + 1.5)
         capacity = (0.2 + 0.8 * min(1.0, start / 10.0)) * share * 1.5
         assert sent <= 3.0 * capacity + 2, (start, sent, capacity)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_cold_server_stays_under_what_fells_it_over_all_instances_together(seed: int) -> None:
+    """By the platform's own figure: N + 3 root N + 3 calls in the time that the settings name, N being what
+    they allow it then. Sixty instances hear of the restart in one moment, and each has few calls."""
+    instances, servers, rate, window, multiple = 60, 3, 240.0, 1.5, 1.5  # calls a second, of all together
+    setup = settings(
+        fall_multiple=multiple, fall_within=window, cold_from=0.2, cold_for=30.0, balancers=instances,
+        may_probe=True,
+    )  # fmt: skip
+    fleet = [Driver(setup, seed * 1000 + n, entries(*range(1, servers + 1))) for n in range(instances)]
+    chance = Random(seed)
+    now = begun = fleet[0].now
+    call, restarted, cold = 0, 0.0, list[float]()
+    out: list[tuple[float, Driver, Send]] = []
+
+    def until(driver: Driver, then: float) -> None:
+        """Each probe finds the cold one idle, and all others busy."""
+        for probe in driver.wait(max(0.0, then - driver.now)):
+            if isinstance(probe, Probe):
+                busy = 0.0 if restarted and probe.server == 1 else 30.0
+                driver.feed(Probed(probe.server, Status.OK, 0.001, {"busy_reqs": busy}))
+
+    while now < begun + 12.0:
+        now += chance.expovariate(rate)
+        if not restarted and now > begun + 6.0:
+            restarted = now
+            for each in fleet:
+                until(each, now)
+                each.feed(ServerList(ListKind.INCREMENTAL, entries(1, started_at=now)))
+        while out and out[0][0] <= now:
+            due, owner, send = out.pop(0)
+            until(owner, due)
+            owner.settle(send, Status.OK, elapsed=0.1)
+        driver = chance.choice(fleet)
+        until(driver, now)
+        call += 1
+        for send in sends(driver.arrive(call)):
+            out.append((now + 0.1, driver, send))
+            if restarted and send.server == 1:
+                cold.append(now - restarted)
+    assert len(cold) > 10
+    for start in cold:
+        sent = sum(1 for at in cold if start <= at < start + window)
+        allowed = multiple * (0.2 + 0.8 * start / 30.0) * rate / servers * window
+        assert sent <= allowed + 3 * allowed**0.5 + 3, (start, sent, allowed)
