A wrong configuration file is refused with the key and what to write

Addresses, seed, limits and forms were refused by Python's own words ("invalid literal for int()"), without the key. Eleven wrong files in a test; wrong settings have theirs.

--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -4,16 +4,19 @@
 
 import json
 import resource
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from granitepoint.interface import Effect, Settings
 from granitepoint.net.limits import LEAST_SOCKETS
 from granitepoint.net.listing import Address, address
 from granitepoint.settings import read_settings
 
+T = TypeVar("T")
+ADDRESS = "host:port, with the host as a number"
+
 
 class ConfigError(Exception):
     """The configuration can't be used; the message is one line."""
@@ -87,6 +90,18 @@
     return pairs
 
 
+def _value(key: str, value: object, read: Callable[[Any], T], instead: str) -> T:
+    """Raises ValueError, with the key and what to write."""
+    try:
+        return read(value)
+    except (ValueError, TypeError, AttributeError, OverflowError):
+        raise ValueError(f"{key} can't be used: {value!r}; write {instead}") from None
+
+
+def _forms(raw: dict[str, str]) -> dict[str, Effect]:
+    return {str(name): Effect(effect) for name, effect in raw.items()}
+
+
 def _seed(text: object) -> int:
     return int(text, 16) if isinstance(text, str) else int(str(text))
 
@@ -126,29 +141,31 @@
     known = raw.get("known") or {}
     limits = raw.get("limits") or {}
     if not isinstance(known, dict) or not isinstance(limits, dict):
-        raise ValueError("known and limits must be objects")
+        raise ValueError("known and limits can't be used; write an object of each, or leave it out")
     soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     if soft == resource.RLIM_INFINITY:
         soft = 1 << 20
-    sockets = min(int(limits.get("sockets", soft)), soft)
+    sockets = min(_value("limits.sockets", limits.get("sockets", soft), int, "a whole number"), soft)
     if sockets < LEAST_SOCKETS:
-        raise ValueError(f"too few sockets: {sockets}")
-    memory_mb = float(limits.get("memory_mb", 192))
+        raise ValueError(f"limits.sockets is too little: {sockets}; write {LEAST_SOCKETS} or more")
+    memory_mb = _value("limits.memory_mb", limits.get("memory_mb", 192), float, "a number")
     if not 0 < memory_mb < 1 << 30:
-        raise ValueError(f"no such memory: {memory_mb}")
+        raise ValueError(f"limits.memory_mb is out of range: {memory_mb}; write more than 0")
     console = environ.get("EDGE_CONSOLE") or raw.get("console")
+    listen = environ.get("EDGE_LISTEN") or raw.get("listen")
+    discovery = environ.get("EDGE_DISCOVERY") or raw.get("discovery")
     return Config(
         name=environ.get("EDGE_NAME") or str(raw.get("name", "")),
-        listen=address(environ.get("EDGE_LISTEN") or raw.get("listen")),
-        discovery=address(environ.get("EDGE_DISCOVERY") or raw.get("discovery")),
-        seed=_seed(raw.get("seed", 0)),
+        listen=_value("listen (EDGE_LISTEN)", listen, address, ADDRESS),
+        discovery=_value("discovery (EDGE_DISCOVERY)", discovery, address, ADDRESS),
+        seed=_value("seed", raw.get("seed", 0), _seed, "a whole number, or a text of hexadecimal digits"),
         sockets=sockets,
         memory_mb=memory_mb,
         known=known,
         settings=read_settings(flatten(raw["settings"])),
-        console=address(console) if console else None,
+        console=_value("console (EDGE_CONSOLE)", console, address, ADDRESS) if console else None,
         raw=raw,
-        forms={str(name): Effect(effect) for name, effect in (raw.get("forms") or {}).items()},
+        forms=_value("forms", raw.get("forms") or {}, _forms, "{class: repeatable, by_key or once}"),
     )
 
 
@@ -156,6 +173,6 @@
     """The address of discovery as the file has it now. EDGE_DISCOVERY does not override it: a process keeps
     the variables it was started with, so a reload could never change anything."""
     try:
-        return address(_read_file(environ).get("discovery"))
+        return _value("discovery", _read_file(environ).get("discovery"), address, ADDRESS)
     except (OSError, ValueError, RecursionError) as fault:
         raise config_error(fault) from None
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -275,3 +275,26 @@
         place[path[-1]] = value
     with pytest.raises(ValueError, match=re.escape(said)):
         read_config(made, {})
+
+
+OUTSIDE = {
+    "no address": ("listen", None, "listen (EDGE_LISTEN) can't be used: None; write host:port"),
+    "an address without a port": ("discovery", "x", "(EDGE_DISCOVERY) can't be used: 'x'; write host:"),
+    "a console that is no address": ("console", 5, "(EDGE_CONSOLE) can't be used: 5; write host:port"),
+    "a seed of other letters": ("seed", "zz", "seed can't be used: 'zz'; write a whole number, or a text"),
+    "limits that are no object": ("limits", "x", "limits can't be used; write an object of each"),
+    "descriptors in words": ("limits", {"sockets": "many"}, "limits.sockets can't be used: 'many'; write"),
+    "too few descriptors": ("limits", {"sockets": 8}, "limits.sockets is too little: 8; write 64 or more"),
+    "no memory": ("limits", {"memory_mb": 0}, "limits.memory_mb is out of range: 0.0; write more than 0"),
+    "memory of NaN": ("limits", {"memory_mb": float("nan")}, "limits.memory_mb is out of range: nan; write"),
+    "forms that are no object": ("forms", "x", "forms can't be used: 'x'; write {class: repeatable"),
+    "a form of its own": ("forms", {"a": "b"}, "forms can't be used: {'a': 'b'}; write {class: repeatable"),
+}
+
+
+@pytest.mark.parametrize(("key", "value", "said"), OUTSIDE.values(), ids=list(OUTSIDE))
+def test_a_wrong_file_is_refused_with_the_key_and_what_to_write(key: str, value: object, said: str) -> None:
+    made: Any = config("127.0.0.1:1", listing(1), "127.0.0.1:0")
+    made[key] = value
+    with pytest.raises(ValueError, match=re.escape(said)):
+        read_config(made, {})
