While a list is owed, tries to a discovery for all lie further apart each time

Pauses double from 0.2 s up to one call's time (half of what is left of the budget), drawn from half to whole, so the last try still lies that near the end of the 6 s. Ruled out: silent addresses (one time-out), the watch's own pace. Where lists are pushed the pace stays: an agent has one proxy, and what it gets counts at once.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -164,6 +164,7 @@
         channel = _Channel()
         loop = asyncio.get_running_loop()
         waits = True  # the next call may: nothing is in doubt
+        failed = 0  # calls, on end
         owed = loop.time() + self.pace.moved if self.version is None else -math.inf  # until then one is owed
         try:
             while True:
@@ -175,7 +176,7 @@
                     target = f"/v1/servers?from={self.version}&hold_ms={hold * 1000:.0f}"
                     fault = await self._ask(channel, target, hold + (pace.patience if waits else pace.call))
                 if fault is None:
-                    waits, owed = True, -math.inf
+                    waits, owed, failed = True, -math.inf, 0
                     await asyncio.sleep(max(0.0, begun + LEAST_SPACING - loop.time()))
                     continue
                 silent = isinstance(fault, TimeoutError)
@@ -188,8 +189,9 @@
                     self.on_failed()
                     if not pace.pushed:
                         return
+                failed += 1
                 if not silent:
-                    await asyncio.sleep(pace.spacing)
+                    await asyncio.sleep(pace.pause(failed, self.random.random()))
         finally:
             channel.close()
 
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -47,6 +47,21 @@
     assert max(waits) < 60.0  # what the protocol allows
 
 
+@pytest.mark.parametrize("grace", GRACES)
+def test_while_a_list_is_owed_a_service_for_all_is_asked_few_times_and_the_last_time_near_its_end(
+    grace: float,
+) -> None:
+    """Found on roll+mass: an address that answers 503 was asked thirty times in 6 s by each proxy."""
+    pace = freshness(True, grace)
+    for span in (pace.owed, pace.moved):
+        for chance in (0.0, 0.5, 1.0):
+            tries = [0.0]
+            while tries[-1] < span:
+                tries.append(tries[-1] + pace.pause(len(tries), chance))
+            assert len(tries) <= (14 if chance else 20) and tries[1] <= 0.2
+            assert tries[-2] >= span - pace.longest  # what comes back meanwhile is asked within the time
+
+
 Said = Callable[[str, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -179,6 +194,19 @@
     run(test())
 
 
+def test_tries_while_a_list_is_owed_lie_further_apart_each_time() -> None:
+    async def test() -> None:
+        pace = replace(QUICK, owed=0.5, longest=0.1)
+        server, watched = Scripted(silent, *[busy] * 1000), Watched(pace)
+        discovery = await watched.against(server)
+        discovery.watch(True)
+        await watched.failure()
+        assert 4 <= server.asked.qsize() <= 16  # at one pace of 0.01 s it would be near 50
+        discovery.stop()
+
+    run(test())
+
+
 @pytest.mark.parametrize("first", [busy, resets, half, silent])
 def test_a_failed_call_that_could_not_wait_is_the_modules_matter_where_lists_are_asked(first: Said) -> None:
     """Discovery is one service for all: only what a silent watch missed is asked for without a pause."""
