--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -287,6 +287,11 @@
                 own.server.close()
 
 
+def get(id: str) -> bytes:
+    """A call of a class that is safe, as its bytes."""
+    return f"GET /stock HTTP/1.1\r\nHost: x\r\nX-Call-Id: {id:>016}\r\nX-Budget: 5000m\r\n\r\n".encode()
+
+
 def run(test: Coroutine[Any, Any, None]) -> None:
     async def bounded() -> None:
         async with asyncio.timeout(4 * PATIENCE):
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -22,6 +22,7 @@
     Discovery,
     Seen,
     config,
+    get,
     listing,
     next_call,
     proxy,
@@ -86,10 +87,6 @@
     def left(self, call: Any) -> None: ...
 
 
-def request(id: str) -> bytes:
-    return f"GET /stock HTTP/1.1\r\nHost: x\r\nX-Call-Id: {id:>016}\r\nX-Budget: 5000m\r\n\r\n".encode()
-
-
 def make_room(server: Server) -> None:
     server._make_room()
 
@@ -126,7 +123,7 @@
             raws[-1].setblocking(False)
             callers.append(Caller(*await asyncio.open_connection(sock=raws[-1])))
             if not first:
-                assert (await callers[-1].raw(request(str(number)))).code == 200
+                assert (await callers[-1].raw(get(str(number)))).code == 200
         async with asyncio.timeout(PATIENCE):
             while len(server.fresh if first else server.kept) < 2:
                 await asyncio.sleep(0)
@@ -136,7 +133,7 @@
         assert asks.transport is not None
         peer = asks.transport.get_extra_info("peername")
         asking = next(place for place, raw in enumerate(raws) if raw.getsockname() == peer)
-        raws[asking].send(request("9"))  # and no turn of the loop between this and the next line
+        raws[asking].send(get("9"))  # and no turn of the loop between this and the next line
         end(server)
         assert (await callers[asking].answer()).body == b"9".rjust(16, b"0")
         assert await callers[1 - asking].ended()
@@ -188,7 +185,7 @@
                 assert (await caller.reader.readexactly(100_000)).startswith(b"HTTP/1.1 200 ")
             node.terminate()
             begun = loop.time()
-            answer = await other.raw(request("404").replace(b"/stock", b"/nosuch"))
+            answer = await other.raw(get("404").replace(b"/stock", b"/nosuch"))
             assert answer.code == 404  # it still serves after the signal
             if ends:
                 rest.set()
@@ -218,7 +215,7 @@
         backend = Backend(behave)
         async with proxy({"s-1": backend}, grades=grades()) as node:
             raw = socket.create_connection(node.address)
-            raw.send(request("1").replace(b"/stock", b"/stock?"))
+            raw.send(get("1").replace(b"/stock", b"/stock?"))
             await next_call(backend)
             while not select.select([raw], [], [], 0)[0]:  # it has begun to come, and is not read
                 await asyncio.sleep(0)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -12,7 +12,7 @@
 
 import pytest
 import uvloop
-from netkit import PATIENCE, SETTINGS, Backend, Seen, endpoint, next_call, proxy, response, run
+from netkit import PATIENCE, SETTINGS, Backend, Seen, endpoint, get, next_call, proxy, response, run
 from netkit import Discovery as Told
 
 from granitepoint.interface import Effect
@@ -38,10 +38,6 @@
 ENDS = [fin, half_close, reset]
 
 
-def get(id: str) -> bytes:
-    return f"GET /stock HTTP/1.1\r\nHost: x\r\nX-Call-Id: {id:>016}\r\nX-Budget: 5000m\r\n\r\n".encode()
-
-
 LONG = (
     b"POST /canje HTTP/1.1\r\nHost: x\r\nX-Call-Id: 0011223344556677\r\nX-Budget: 5000m\r\n"
     b"Content-Length: 8000000\r\n\r\n" + b"a" * 8_000_000
