--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -60,9 +60,8 @@
 LEAST_WINDOW = 2.0  # calls; W does not recover well from less
 LEAST_PER_SERVER = 2.0  # calls for each server that the first tier's instances share, if these are the more
 MOST_STEP = 0.3  # share of W that one call moves it by at most
-FIRST_STEP = 0.5  # calls that one call moves W up by at most, as it does at the start
-SURE = 16  # answers in time in a row that tell that W is too low: with LATE_SHARE late, 3 of 100 such rows
-MOST_SURE = 4  # such rows on end that are told apart
+FIRST_STEP = 0.5  # calls that each answer moves W up by at the start: by half a round
+SURE = 24  # answers in time in a row that tell that W is too low: with LATE_SHARE late, 1 of 200 such rows
 LEAST_LATENCY = 1e-4  # s; no answer counts as quicker, so that means stay above 0
 FIRST_WINDOW = 4.0  # calls, where W starts before anything is known
 SUNK = 0.5  # added to ST's weight per tier above: work done there is lost by a refusal here
@@ -358,14 +357,14 @@
 
     def good(self, busy: float) -> None:
         """An answer within its target. W grows only while it is what limits. A long row of these tells that W
-        is far below where it would stand, so after each SURE of them its steps are four times as long. Guards
-        against one bad sign in the first seconds of an instance that gets several times the others' calls: at
-        under a call a round W would need minutes, and meanwhile all but the dearest calls are refused. Harm:
-        by chance W rises by a little too much now and then."""
+        is far below where it would stand: it grows as at the start, until the next bad sign. Guards against
+        one bad sign in the first seconds of an instance that gets several times the others' calls: at under a
+        call a round W would need minutes, and meanwhile all but the dearest calls are refused. Harm: by
+        chance W rises by some calls too many now and then."""
         if busy + 1 >= SLACK * self.window:
-            self.good_row = min(self.good_row + 1, MOST_SURE * SURE)
-            step = LATE_SHARE / (1 - LATE_SHARE) * self.step() * 4 ** (self.good_row // SURE)
-            self.window += FIRST_STEP if self.starting else min(FIRST_STEP, step)
+            self.good_row += 1
+            quick = self.starting or self.good_row >= SURE
+            self.window += FIRST_STEP if quick else LATE_SHARE / (1 - LATE_SHARE) * self.step()
 
     def bad(self) -> None:
         self.starting, self.good_row = False, 0
