--- a/granitepoint/net/freshness.py
+++ b/granitepoint/net/freshness.py
@@ -13,7 +13,7 @@
 MOVED_TOLD = 4.0  # s after SIGHUP: what the new address lists counts as told (STANDING)
 HOLD = 20.0  # s that a watch waits where discovery is one service for all: three calls a minute
 HOLD_SPREAD = 0.5  # of HOLD, round it: calls that one change ended together come apart again
-SPACING = 0.2  # s between tries while an answer is owed; a watch goes on for as long between two calls
+SPACING = 0.2  # s between the first tries while an answer is owed
 MOST_DOUBLINGS = 10  # of SPACING: more is beyond every longest pause
 CONNECT = 1.0  # s for a connection to discovery, at most
 # A pushed list costs nothing, and counts from the moment that the agent has it: one silent call, the pause
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -17,7 +17,7 @@
 from granitepoint.net.bodies import Body, chunk_of
 from granitepoint.net.fields import HOP_BY_HOP, closes, read_field
 from granitepoint.net.limits import LATE, ONE_TURN, UPSTREAM_SHARE
-from granitepoint.net.polling import ended, readable, waited_for
+from granitepoint.net.polling import ended, readable, waiting
 from granitepoint.net.protocols import Source, Switch
 
 log = logging.getLogger(__name__)
@@ -796,7 +796,7 @@
     @property
     def waited_for(self) -> bool:
         """Whether a newcomer is still to be accepted: to close on it would reset what it has sent."""
-        return self.listener is not None and waited_for(self.fileno)
+        return self.listener is not None and waiting(self.fileno)
 
     def stop_listening(self) -> None:
         if self.listener is not None:
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -8,6 +8,8 @@
 import json
 import os
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -287,6 +289,11 @@
                 own.server.close()
 
 
+def resets_on_close(raw: socket.socket) -> None:
+    """socket(7), SO_LINGER with no time: what is closed from now on is reset."""
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def get(id: str) -> bytes:
     """A call of a class that is safe, as its bytes."""
     return f"GET /stock HTTP/1.1\r\nHost: x\r\nX-Call-Id: {id:>016}\r\nX-Budget: 5000m\r\n\r\n".encode()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -5,14 +5,25 @@
 import asyncio
 import contextlib
 import socket
-import struct
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 import uvloop
-from netkit import PATIENCE, SETTINGS, Backend, Seen, endpoint, get, next_call, proxy, response, run
+from netkit import (
+    PATIENCE,
+    SETTINGS,
+    Backend,
+    Seen,
+    endpoint,
+    get,
+    next_call,
+    proxy,
+    resets_on_close,
+    response,
+    run,
+)
 from netkit import Discovery as Told
 
 from granitepoint.interface import Effect
@@ -29,7 +40,7 @@
 
 
 def reset(raw: socket.socket) -> None:
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    resets_on_close(raw)
     raw.close()
 
 
@@ -231,7 +242,7 @@
                 half_close(raw)
             else:
                 if end is reset:
-                    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    resets_on_close(raw)
                 caller.writer.transport.abort()
             heard, idle = await late.calls()
             assert len(heard) == 1 and b"b" * 16 in heard[0] and b"a" * 16 not in heard[0]
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -6,13 +6,11 @@
 import contextlib
 import hashlib
 import signal
-import socket
-import struct
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
-from netkit import PATIENCE, Backend, Caller, Proxy, Seen, proxy, read_message, response, run
+from netkit import PATIENCE, Backend, Caller, Proxy, Seen, proxy, read_message, resets_on_close, response, run
 
 from granitepoint.net.bodies import WINDOW, Body
 from granitepoint.net.upstream import HOLD_BACK
@@ -206,7 +204,7 @@
                 await asyncio.sleep(0)
             node.process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(2 * HOLD_BACK)  # the stall itself
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            resets_on_close(raw)
             writer.transport.abort()
             while unread(*ports) is not None:
                 await asyncio.sleep(0)
