--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +15,7 @@
     PATIENCE,
     SETTINGS,
     Backend,
+    Proxy,
     Seen,
     endpoint,
     get,
@@ -214,8 +215,17 @@
         return [task.result() for task in done], [reads[task] for task in waiting]
 
 
-def limits(**more: Any) -> dict[str, Any]:
-    return {**SETTINGS["policy_limits"], **more}
+@contextlib.asynccontextmanager
+async def before(late: Unreachable) -> AsyncIterator[tuple[Proxy, Told]]:
+    """A proxy whose list has nobody else, with time enough for a slow connect."""
+    settings = {**SETTINGS["policy_limits"], "connect_timeout": 8.0, "probes": False}
+    discovery = await Told().start()
+    async with proxy({"s-1": Backend()}, discovery, policy_limits=settings) as node:
+        async with asyncio.timeout(PATIENCE):
+            await discovery.asked.get()
+            discovery.put(2, endpoint("s-2", late.address), snapshot=True)
+            await discovery.asked.get()
+        yield node, discovery
 
 
 @pytest.mark.parametrize("end", ENDS)
@@ -224,14 +234,7 @@
 ) -> None:
     async def test() -> None:
         late = Unreachable()
-        settings = limits(connect_timeout=8.0, probes=False)
-        discovery = await Told().start()
-        async with proxy({"s-1": Backend()}, discovery, policy_limits=settings) as node:
-            async with asyncio.timeout(PATIENCE):
-                await discovery.asked.get()
-            discovery.put(2, endpoint("s-2", late.address), snapshot=True)
-            async with asyncio.timeout(PATIENCE):
-                await discovery.asked.get()
+        async with before(late) as (node, _):
             caller, stays = await node.caller(), await node.caller()
             caller.send("canje", "a" * 16, budget="8000m")
             await late.tried(1)
@@ -260,15 +263,8 @@
 
     async def test() -> None:
         late, stays = Unreachable(), await Backend().start()
-        settings = limits(connect_timeout=8.0, probes=False)
-        discovery = await Told().start()
-        async with proxy({"s-1": Backend()}, discovery, policy_limits=settings) as node:
-            async with asyncio.timeout(PATIENCE):
-                await discovery.asked.get()
-            discovery.put(2, endpoint("s-2", late.address), snapshot=True)
+        async with before(late) as (node, discovery):
             caller = await node.caller()
-            async with asyncio.timeout(PATIENCE):
-                await discovery.asked.get()
             caller.send("canje", "a" * 16, budget="8000m")
             await late.tried(1)
             discovery.put(3, endpoint("s-2", late.address, status), endpoint("s-3", stays.address))
