A call's first try is told by the budget its caller stated, not by what is left of it

Fault: the module takes a budget of over 0.05 s below the usual one for time that the client has waited over earlier tries, and was handed the budget less this instance's own margins. A lag of the loop (up to 0.15 s) made first tries with a short budget look late: refused unsent. The end of the process did the same to every call whose class has more than 3.3 s: between SIGTERM and its end they were refused on the connections kept open for them.

Ruled out: a wider step (the lag's margin is larger than what retries differ by) and counting from the usual budget instead of the deadline (the median is of retries in an overload). The driver now hands on what the caller stated, bounded by its class's deadline; who hands none (the simulator) is as before.

Two tests over loopback, both seen to fail with 503 without it: a process stopped for 0.3 s, and a call after SIGTERM.

--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -229,6 +229,7 @@
     key: str = ""  # the subject of the request, where it has one
     attempts: int = 0  # that it may have, if fewer than its class; 0: as many
     share: float = 1.0  # of its class's worth
+    stated: float = 0.0  # seconds that the client gave it, before this instance's own margins; 0: `budget`
 
 
 @dataclass(slots=True)
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -846,7 +846,7 @@
                 self.quota_left[event.tenant] -= 1
             else:
                 worth *= self.settings.over_share_worth
-        left = self.aim_left(cls, event.budget, event.resent)
+        left = self.aim_left(cls, event.stated or event.budget, event.resent)
         useful = event.budget if cls.late_counts else min(event.budget, left)
         call = Call(event.call, cls, worth, now, now + event.budget, now + useful)
         if event.attempts:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -282,8 +282,8 @@
         # What the budget has lost before the request was read shows only as this loop's lag.
         margin = min(MOST_MARGIN, LEAST_MARGIN + 2 * self.lag)
         # No client of a class waits longer than its deadline, whatever it says.
-        deadline = request.came + min(request.budget, self.deadlines[request.cls]) - margin
-        deadline = min(deadline, self.end_by)
+        stated = min(request.budget, self.deadlines[request.cls])
+        deadline = min(request.came + stated - margin, self.end_by)
         call = OpenCall(number, request, reply, deadline)
         if not request.body.whole:  # its time begins with its last byte
             call.deadline = self.end_by
@@ -304,6 +304,7 @@
                 call=number,
                 cls=request.cls,
                 budget=deadline - MODULE_MARGIN - now,
+                stated=stated,
                 tenant=request.tenant,
                 work=request.work,
                 resent=request.resent,
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 import tempfile
 from typing import Any
@@ -432,6 +433,26 @@
     run(test())
 
 
+def test_a_first_try_is_served_after_sigterm_though_less_time_is_left_than_its_class_has() -> None:
+    """What the end of this process takes from a budget is nothing that the caller has waited."""
+
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}) as node:
+            caller = await node.caller()
+            for number in range(3):
+                assert (await caller.call("canje", f"{number:016x}", budget="6000m")).code == 200
+            node.terminate()
+            with contextlib.suppress(ConnectionRefusedError):
+                async with asyncio.timeout(PATIENCE):
+                    while True:  # until it has begun to end
+                        (await node.caller()).writer.close()
+                        await asyncio.sleep(0.02)
+            assert (await caller.call("canje", "2" * 16, budget="6000m")).code == 200
+            assert await node.code() == 0
+
+    run(test())
+
+
 def test_a_backend_that_fell_silent_loses_its_idle_connections() -> None:
     """A machine that vanished leaves open, silent connections; each would cost a call to find out."""
 
@@ -522,6 +543,25 @@
     run(test())
 
 
+def test_a_first_try_with_a_short_budget_is_not_late_because_the_loop_was() -> None:
+    """Callers of a class may all give it far less time than its deadline. What a late loop keeps back of that
+    must not look like time that a caller has waited over earlier tries."""
+
+    async def test() -> None:
+        grade = {**SETTINGS["grades"][2], "aim": 5.0, "deadline": 20.0}
+        async with proxy({"s-1": Backend()}, grades=[*SETTINGS["grades"][:2], grade]) as node:
+            caller = await node.caller()
+            for number in range(20):
+                assert (await caller.call("canje", f"{number:016x}", budget="1000m")).code == 200
+            node.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(0.3)  # the stall itself: a step's timer is late by it
+            node.process.send_signal(signal.SIGCONT)
+            for number in range(20, 30):
+                assert (await caller.call("canje", f"{number:016x}", budget="1000m")).code == 200
+
+    run(test())
+
+
 def test_an_answer_that_came_while_the_process_stood_still_is_served() -> None:
     """After a stall timers run before sockets are read: a time-out must not throw away what has come."""
 
