A class is refused before a dearer one only if it is worth less for its time, too

W bounds calls at once, so what a refusal wins is worth for the time. Where that and the worth of the call disagree, both classes count as the dearer.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -9,6 +9,7 @@
 import math
 from bisect import insort
 from collections import deque
+from collections.abc import Iterable
 from random import Random
 
 from granitepoint.interface import (
@@ -280,11 +281,23 @@
         self.mean = Mean(self.least_target / 2)
         self.budgets: deque[float] = deque(maxlen=BUDGETS)
         self.usual, self.fresh_budgets = 0.0, 0
+        self.rank = cls.worth  # its worth among the classes when calls are refused for theirs
 
     def inherit(self, old: Kind) -> None:
         """What was learned of the class under its settings before."""
         self.base, self.mean, self.budgets, self.usual = old.base, old.mean, old.budgets, old.usual
 
+    def set_rank(self, others: Iterable[Kind]) -> None:
+        """A class is refused before another only if its calls are worth less both by the call and by the time
+        that they hold a place of W: if the two disagree, both count as the dearer. Guards against a cheap and
+        quick class that gets nothing at an instance with many calls, for no gain in worth. Harm: a wrong mean
+        makes two classes share what one of them should bear."""
+        dearer = (
+            other.worth for other in others
+            if other.worth > self.worth and self.worth * other.mean.value >= other.worth * self.mean.value
+        )  # fmt: skip
+        self.rank = max(dearer, default=self.worth)
+
     def learn_base(self, span: float) -> None:
         """A target below what an unhurried call takes would close W on a quiet day."""
         mean = self.mean
@@ -838,9 +851,9 @@
             return
         self.arrivals += 1
         now = self.now
-        worth = cls.worth * event.share
+        worth = cls.rank * event.share
         if self.settings.worth_by_work and event.work > 0:
-            worth *= event.work
+            worth = cls.worth * event.share * event.work
         if self.settings.stage == 0 and event.tenant in self.quota:
             if self.quota_left[event.tenant] >= 1:
                 self.quota_left[event.tenant] -= 1
@@ -1079,6 +1092,7 @@
             self.quota_left[name] = min(max(1.0, quota), self.quota_left[name] + quota * span)
         for cls in self.kinds.values():
             cls.learn_base(span)
+            cls.set_rank(self.kinds.values())
         self.watch()
         self.watch_ages()
         if admission.latency.count:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -99,6 +99,23 @@
     assert part.window == 1
 
 
+def test_classes_rank_by_worth_where_the_worth_for_their_time_does_not_say_otherwise() -> None:
+    def ranks(*figures: tuple[float, float]) -> list[float]:
+        kinds = []
+        for worth, mean in figures:
+            kind = Kind(RequestClass("x", worth, 1.0, 2.0), 0, 3)
+            kind.mean.value = mean
+            kinds.append(kind)
+        for kind in kinds:
+            kind.set_rank(kinds)
+        return [kind.rank for kind in kinds]
+
+    assert ranks((12, 0.1), (1, 0.4), (1, 0.9)) == [12, 1, 1]
+    assert ranks((2, 0.45), (3, 0.8), (5, 1.0)) == [3, 3, 5]
+    assert ranks((2, 0.6), (3, 0.8), (5, 1.0)) == [2, 3, 5]
+    assert ranks((2, 0.3), (3, 0.8), (5, 1.0)) == [5, 3, 5]
+
+
 def test_outstanding_ages_raise_proc() -> None:
     part = admission(4, 0.1, 50, [1.0] * 20)
     part.age = 1.0
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -6,6 +6,7 @@
 import contextlib
 import signal
 import tempfile
+from collections import Counter
 from typing import Any
 
 import pytest
@@ -261,6 +262,51 @@
     run(test())
 
 
+def test_a_cheap_class_that_is_quick_is_not_refused_for_a_dearer_one_that_is_slow() -> None:
+    """An instance with many times the calls that it may have out refuses by worth. Of two classes the cheaper
+    one may be worth more for the time that its calls take: then both have their part."""
+    slots, spans = 4, {"reserva": 0.05, "canje": 0.2}  # s of a server's slot; worth 2 and 3
+
+    async def test() -> None:
+        codes: dict[str, Counter[int]] = {name: Counter() for name in spans}
+        room = asyncio.Semaphore(slots)
+        enough = asyncio.Event()
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            async with room:
+                await asyncio.sleep(spans[seen.target[1:].partition("?")[0]])
+            writer.write(response(200, b"done"))
+
+        async def calls(cls: str, number: int) -> None:
+            caller = await node.caller()
+            for count in range(1000):
+                answer = await caller.call(cls, f"{number:08x}{count:08x}", budget="2000m")
+                codes[cls][answer.code] += 1
+                if codes["canje"].total() >= 600 and codes["reserva"].total() >= 600:
+                    enough.set()
+                if answer.code == 503:
+                    await asyncio.sleep(0.1)
+
+        grades = [
+            {**grade, "value": value, "objective": 0.5, "deadline": 2.0}
+            for grade, value in zip(SETTINGS["grades"], (12.0, 2.0, 3.0), strict=True)
+        ]
+        async with proxy({"s-1": Backend(behave)}, grades=grades) as node:
+            asking = [
+                asyncio.create_task(calls(cls, 100 * place + number))
+                for place, cls in enumerate(spans) for number in range(40)
+            ]  # fmt: skip
+            async with asyncio.timeout(PATIENCE):
+                await enough.wait()
+            for task in asking:
+                task.cancel()
+        served = {cls: codes[cls][200] / codes[cls].total() for cls in spans}
+        assert codes["canje"][503] > 300, codes  # there was too much of it all
+        assert served["reserva"] > 0.5 * served["canje"], codes
+
+    run(test())
+
+
 def test_a_late_answer_reaches_nobody() -> None:
     """A timed out attempt gives up its connection: its answer must not become that of the next call."""
 
