Read again: a call's worth is written once; two tests drop a key that the settings don't have

on_arrival computed a worth and threw it away where worth goes by work. Two tests gave their grade an 'aim', which is the module's word: the settings' is 'objective', and the key was skipped. Assertions and what they measure are the same.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -851,9 +851,8 @@
             return
         self.arrivals += 1
         now = self.now
-        worth = cls.rank * event.share
-        if self.settings.worth_by_work and event.work > 0:
-            worth = cls.worth * event.share * event.work
+        by_work = self.settings.worth_by_work and event.work > 0
+        worth = cls.worth * event.share * event.work if by_work else cls.rank * event.share
         if self.settings.stage == 0 and event.tenant in self.quota:
             if self.quota_left[event.tenant] >= 1:
                 self.quota_left[event.tenant] -= 1
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -250,7 +250,7 @@
                     await asyncio.sleep(float(answer.headers["retry-after"]))
 
         backend = Backend(behave)
-        grade = {**SETTINGS["grades"][2], "aim": 20.0, "deadline": 20.0}
+        grade = {**SETTINGS["grades"][2], "deadline": 20.0}
         async with proxy({"s-1": backend}, grades=[*SETTINGS["grades"][:2], grade]) as node:
             asking = [asyncio.create_task(calls(number)) for number in range(callers)]
             async with asyncio.timeout(PATIENCE):
@@ -594,7 +594,7 @@
     must not look like time that a caller has waited over earlier tries."""
 
     async def test() -> None:
-        grade = {**SETTINGS["grades"][2], "aim": 5.0, "deadline": 20.0}
+        grade = {**SETTINGS["grades"][2], "deadline": 20.0}
         async with proxy({"s-1": Backend()}, grades=[*SETTINGS["grades"][:2], grade]) as node:
             caller = await node.caller()
             for number in range(20):
