Join small pieces of a body, so that tiny chunks use little more memory than their bytes

Cause: RequestBody kept each piece as an object of its own, and the limits count bytes of content.

Evidence: 24 connections fed in one process. At 41.9 MB in the pool the objects took 149.2 MB (3.56 for 1) with chunks of 16 bytes, 54.4 MB for 54.4 MB with chunks of 59,000 bytes; resident memory 205 and 74 MB. So it is the objects, not the allocator, the parser or the write buffers.

Change: BlockBuffer joins pieces under 4 KiB; RequestBody stores its content in it.

--- a/service_proxy/net/request_body.py
+++ b/service_proxy/net/request_body.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from service_proxy.net.block_buffer import BlockBuffer
+
 STREAM_WINDOW_BYTES = 64 * 1024  # Buffer size of a streamed body that waits for the endpoint.
 
 
@@ -29,8 +31,8 @@
 
     Attributes:
         length: Announced length; None if the length is known only at the end of the body.
+        content: The buffered part of the body.
         received_bytes: Number of bytes received so far.
-        buffered_bytes: Number of bytes in `parts`.
         is_replayable: True if the whole body is kept until the request ends, so that a retry can send it.
         reader: Component that sends the body to an endpoint.
         on_drained: Called when the buffer has free space again.
@@ -38,22 +40,20 @@
     """
 
     __slots__ = (
-        "buffered_bytes",
+        "content",
         "is_complete",
         "is_replayable",
         "length",
         "on_complete",
         "on_drained",
-        "parts",
         "reader",
         "received_bytes",
     )
 
     def __init__(self, length: int | None = None) -> None:
         self.length = length
-        self.parts: list[bytes] = []
+        self.content = BlockBuffer()
         self.received_bytes = 0
-        self.buffered_bytes = 0
         self.is_replayable = True
         self.is_complete = False
         self.reader: BodyReader | None = None
@@ -71,9 +71,8 @@
 
     def append(self, part: bytes) -> None:
         """Append a received part."""
-        self.parts.append(part)
+        self.content.append(part)
         self.received_bytes += len(part)
-        self.buffered_bytes += len(part)
         if self.reader is not None:
             self.reader.on_body_progress()
 
@@ -90,13 +89,16 @@
     @property
     def is_full(self) -> bool:
         """Return True if the buffer is full, so that no more of the body may be read from the client."""
-        return not self.is_replayable and self.buffered_bytes > STREAM_WINDOW_BYTES
+        return not self.is_replayable and self.content.size > STREAM_WINDOW_BYTES
+
+    @property
+    def parts(self) -> list[bytes]:
+        """Return the buffered parts; adjoining small parts are joined."""
+        return self.content.blocks
 
     def take_parts(self) -> list[bytes]:
         """Return all buffered parts of a streamed body, and remove them from the buffer."""
-        parts = self.parts
-        self.parts = []
-        self.buffered_bytes = 0
+        parts = self.content.take()
         if self.on_drained is not None:
             self.on_drained()
         return parts
--- a/tests/net/net_harness.py
+++ b/tests/net/net_harness.py
@@ -260,7 +260,11 @@
 
 
 def config(discovery: str, known: dict[str, Any], listen: str, /, **changes: Any) -> dict[str, Any]:
-    limits = {"cores": 1.0, "memory_mb": 192, "sockets": changes.pop("sockets", 1024)}
+    limits = {
+        "cores": 1.0,
+        "memory_mb": changes.pop("memory_mb", 192),
+        "sockets": changes.pop("sockets", 1024),
+    }
     return {
         "name": "n0",
         "listen": listen,
