Count the memory of request bodies for as long as it is in use, and none for invalid requests

Cause, four places where the pool's count and the memory part: - the class was looked at only when a body was complete or beyond the pool; - a rejected request's body stayed with its connection after its share was released; - one count for each connection: a second body behind the first was counted only beyond the first one's size, and the first response released both; - a body beyond the pool was released as "forwarded at once", although its request may wait in the queue.

Evidence: trace of 24 fed connections: after the last 404 the pool said 0.0 MB, and the connections held 78.3 MB of content.

Change: each RequestBody has its share of the pool, released when the body is dropped, forwarded or answered; a request is parsed before its body gets a share; a body whose client has left is freed once it is sent.

--- a/service_proxy/net/downstream/connection.py
+++ b/service_proxy/net/downstream/connection.py
@@ -23,7 +23,8 @@
     ReaderServer,
     RequestReader,
 )
-from service_proxy.net.http_status import BAD_GATEWAY, BODILESS, OK, REASON_PHRASES
+from service_proxy.net.downstream.response_head import encode_response_head
+from service_proxy.net.http_status import BAD_GATEWAY, BODILESS, OK
 from service_proxy.net.limits import LOOP_ITERATION_S
 from service_proxy.net.protocols import ResponseSource
 from service_proxy.net.request_body import RequestBody, encode_chunk
@@ -122,10 +123,12 @@
         self.transport = None
         self.parser = None
         self.is_closing = True
-        self.pending_requests.clear()
+        self._drop_pending_requests()
+        self._drop_body()
+        if self.current_request is not None:
+            self._release_pool(self.current_request.body)
         self.server.set_state(self, None)
         self.server.connections.discard(self)
-        self._release_pool()
         source = self.response_source
         self.response_source = None
         if source is not None:
@@ -233,6 +236,8 @@
         self.discarding_input = True
         early_request = self.early_request
         if early_request is None or early_request.body.is_complete:
+            if self.in_message:
+                self._drop_body()
             self.pending_requests.append((error, False))
         elif early_request is not self.current_request:  # The request is still queued.
             self.pending_requests[-1] = error, False
@@ -305,13 +310,10 @@
         self._decide_last_response()
         if self.server.is_draining and not self._has_more_input():
             self.is_last_response = True
-        parts = [b"HTTP/1.1 %d %s\r\n" % (status_code, REASON_PHRASES.get(status_code, b"Status"))]
-        parts += [name + b": " + value + b"\r\n" for name, value in headers]
-        if status_code not in BODILESS:
-            parts.append(b"content-length: %d\r\n" % len(body))
-        parts.append(b"connection: close\r\n\r\n" if self.is_last_response else b"\r\n")
-        parts.append(body)
-        transport.write(b"".join(parts))
+        length = None if status_code in BODILESS else len(body)
+        transport.write(
+            encode_response_head(status_code, headers, length, False, self.is_last_response) + body
+        )
         self._response_ended(status_code)
 
     def has_client_left(self) -> bool:
@@ -354,17 +356,13 @@
             self.keep_alive = False
         self._decide_last_response()
         self.response_chunked = length is None and not ends_at_close
-        parts = [b"HTTP/1.1 200 OK\r\n", *(name + b": " + value + b"\r\n" for name, value in headers)]
-        if length is not None:
-            parts.append(b"content-length: %d\r\n" % length)
-        elif self.response_chunked:
-            parts.append(b"transfer-encoding: chunked\r\n")
-        parts.append(b"connection: close\r\n\r\n" if self.is_last_response else b"\r\n")
         self.response_source = source
         source.stream_to(self)
         if self.write_blocked:
             source.pause()
-        transport.write(b"".join(parts))
+        transport.write(
+            encode_response_head(OK, headers, length, self.response_chunked, self.is_last_response)
+        )
 
     # net.protocols.ResponseSink methods
     def write(self, data: bytes) -> None:
@@ -396,9 +394,9 @@
         request = self.current_request
         self.current_request = None
         self.response_due = False
-        self._release_pool()
         if request is None:
             return
+        self._release_pool(request.body)
         if self.body is request.body:
             self.body = RequestBody()
         if self.server.request_counter is not None:
@@ -444,7 +442,7 @@
         if transport is None or self.is_closing:
             return
         self.is_closing = True
-        self.pending_requests.clear()
+        self._drop_pending_requests()
         self.server.set_state(self, self.server.closing)
         if not self.discarding_input:
             transport.close()
--- a/service_proxy/net/downstream/request_reader.py
+++ b/service_proxy/net/downstream/request_reader.py
@@ -76,7 +76,6 @@
         next_step_bytes: body size at which the request timeout restarts.
         progress_at: when the arriving request began or last made progress (monotonic, s).
         early_request: the arriving request, if it was dispatched before its body was complete.
-        pooled_bytes: bytes of the server's body pool that the body uses.
         pending_requests: queued requests, each with whether the connection may be kept after its response.
         response_due: a request awaits its response.
         state_table: the server's table that contains the connection, by what the server waits for.
@@ -92,7 +91,6 @@
         "next_step_bytes",
         "parser",
         "pending_requests",
-        "pooled_bytes",
         "progress_at",
         "raw_bytes",
         "response_due",
@@ -111,7 +109,6 @@
         self.body = RequestBody()
         self.next_step_bytes = BODY_PROGRESS_BYTES
         self.early_request: Request | None = None
-        self.pooled_bytes = 0
         self.head_size = 0
         self.raw_bytes = 0
         self.progress_at = 0.0
@@ -178,18 +175,11 @@
         """Buffer a piece of the body, or start to stream the body if no buffer space is left."""
         body = self.body
         server = self.server
-        if body.received_bytes + len(chunk) > server.max_body_bytes:
+        size = body.received_bytes + len(chunk)
+        if size > server.max_body_bytes:
             raise BadRequestError(413, "body too large")
-        if body.is_replayable and body.received_bytes + len(chunk) > MAX_BUFFERED_BODY_BYTES:
-            additional = body.received_bytes + len(chunk) - self.pooled_bytes
-            if (
-                body.received_bytes + len(chunk) <= MAX_POOLED_BODY_BYTES
-                and server.pooled_bytes + additional <= server.pool_bytes
-            ):
-                server.pooled_bytes += additional
-                self.pooled_bytes += additional
-            else:
-                self._dispatch_early()
+        if body.is_replayable and size > MAX_BUFFERED_BODY_BYTES and not self._reserve_pool(size):
+            self._dispatch_early()
         body.append(chunk)
         if body.received_bytes >= self.next_step_bytes:
             self.next_step_bytes = (body.received_bytes // BODY_PROGRESS_BYTES + 1) * BODY_PROGRESS_BYTES
@@ -197,22 +187,56 @@
             if self.state_table is not None:
                 server.set_state(self, self.state_table)
 
+    def _reserve_pool(self, size: int) -> bool:
+        """Raise the share of the body pool to the body's new size, and return whether that was possible.
+
+        Raises:
+            BadRequestError: the request is invalid, so its body is not needed.
+        """
+        body = self.body
+        server = self.server
+        if not body.pooled_bytes:
+            self._parse_request()
+        additional = size - body.pooled_bytes
+        if size > MAX_POOLED_BODY_BYTES or server.pooled_bytes + additional > server.pool_bytes:
+            return False
+        server.pooled_bytes += additional
+        body.pooled_bytes = size
+        return True
+
+    def _release_pool(self, body: RequestBody) -> None:
+        """Release a body's share of the server's body pool."""
+        self.server.pooled_bytes -= body.pooled_bytes
+        body.pooled_bytes = 0
+
+    def _drop_body(self) -> None:
+        """Drop the arriving body, because its request is rejected."""
+        self._release_pool(self.body)
+        self.body = RequestBody()
+
+    def _drop_pending_requests(self) -> None:
+        """Drop the queued requests, and release their share of the server's body pool."""
+        for request, _ in self.pending_requests:
+            if isinstance(request, Request):
+                self._release_pool(request.body)
+        self.pending_requests.clear()
+
     def _dispatch_early(self) -> None:
         """Dispatch a request whose body is too long to be buffered; the rest of the body is streamed."""
         self.body.is_replayable = False
-        self._release_pool()  # The buffered part is forwarded immediately.
         self.early_request = self._parse_request()
-        self.body.on_drained = self._update_flow_control
+        self.body.on_drained = self._on_body_drained
         self.pending_requests.append((self.early_request, self._can_keep_alive()))
 
+    def _on_body_drained(self) -> None:
+        """Release the body's share of the pool, because its buffered part was forwarded, and read on."""
+        assert self.early_request is not None
+        self._release_pool(self.early_request.body)
+        self._update_flow_control()
+
     def _can_keep_alive(self) -> bool:
         return self.parser.should_keep_alive() and not closes_connection(self.headers)
 
-    def _release_pool(self) -> None:
-        """Release the body's share of the server's body pool."""
-        self.server.pooled_bytes -= self.pooled_bytes
-        self.pooled_bytes = 0
-
     def _parse_request(self) -> Request:
         return parse_request(
             self.parser.get_method(),
@@ -255,6 +279,7 @@
                 request = self._parse_request()
             except BadRequestError as error:
                 request = error
+                self._drop_body()
         self.headers = []
         self.pending_requests.append((request, keep_alive))
 
--- a/service_proxy/net/open_request_table.py
+++ b/service_proxy/net/open_request_table.py
@@ -97,6 +97,8 @@
                 # after a cancellation, the rest of the body will never arrive, or no client is left to use a
                 # 101 response.
                 attempt.cancel()
+            elif attempt is not None and attempt.sent:
+                request.body.drop()  # No attempt sends the body again.
 
     def _on_deadline(self, open_request: OpenRequest, after_stall: bool = False) -> None:
         """Answer a request with a failure, because the policy decided nothing in time.
--- a/service_proxy/net/request_body.py
+++ b/service_proxy/net/request_body.py
@@ -33,6 +33,7 @@
         length: Announced length; None if the length is known only at the end of the body.
         content: The buffered part of the body.
         received_bytes: Number of bytes received so far.
+        pooled_bytes: Bytes of the server's body pool that this body uses.
         is_replayable: True if the whole body is kept until the request ends, so that a retry can send it.
         reader: Component that sends the body to an endpoint.
         on_drained: Called when the buffer has free space again.
@@ -46,6 +47,7 @@
         "length",
         "on_complete",
         "on_drained",
+        "pooled_bytes",
         "reader",
         "received_bytes",
     )
@@ -54,6 +56,7 @@
         self.length = length
         self.content = BlockBuffer()
         self.received_bytes = 0
+        self.pooled_bytes = 0
         self.is_replayable = True
         self.is_complete = False
         self.reader: BodyReader | None = None
@@ -96,6 +99,10 @@
         """Return the buffered parts; adjoining small parts are joined."""
         return self.content.blocks
 
+    def drop(self) -> None:
+        """Free the memory of the content, because no attempt will send the body again."""
+        self.content.take()
+
     def take_parts(self) -> list[bytes]:
         """Return all buffered parts of a streamed body, and remove them from the buffer."""
         parts = self.content.take()
--- a/tests/net/test_memory_limits.py
+++ b/tests/net/test_memory_limits.py
@@ -5,12 +5,19 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
+from typing import cast
 
 import pytest
 from long_messages import chunk, post_head
 from net_harness import TEST_TIMEOUT_S, Client, EndpointServer, proxy_under_test, run_async
 
 from harness.proxy_process import process_memory_mb
+from service_proxy.net.downstream.connection import DownstreamConnection
+from service_proxy.net.downstream.http_server import HttpServer
+from service_proxy.net.downstream.request import Request, ResponseWriter
+from service_proxy.net.downstream.request_reader import MAX_POOLED_BODY_BYTES
+from service_proxy.net.limits import MAX_MESSAGE_BYTES
+from service_proxy.policy.settings_types import Idempotency
 
 MEMORY_LIMIT_MB = 64  # Limit of the process under test, within the 32 to 192 MB of the operators' page.
 WRITE_BYTES = 64 * 1024
@@ -55,3 +62,108 @@
         await send_until_answered(client, TINY_CHUNK * (WRITE_BYTES // len(TINY_CHUNK)), 8_000_000)
 
     check_peak_memory(24, send)
+
+
+class FakeTransport:
+    """Transport of a connection whose input the test supplies."""
+
+    def __init__(self) -> None:
+        self.written = b""
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def is_closing(self) -> bool:
+        return False
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def pause_reading(self) -> None:
+        pass
+
+    resume_reading = write_eof = close = abort = pause_reading
+
+
+class HoldingHandler:
+    """Handler that leaves each request without a response."""
+
+    def start_request(self, request: Request, _writer: ResponseWriter) -> object:
+        return request
+
+    def client_disconnected(self, _open_request: object) -> None:
+        pass
+
+
+class FedConnection:
+    """Client connection of an HTTP server without sockets."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self.server = server
+        self.transport = FakeTransport()
+        self.connection = DownstreamConnection(server)
+        self.connection.connection_made(cast(asyncio.Transport, self.transport))
+
+    def feed(self, data: bytes) -> None:
+        """Pass input to the connection, one read buffer at a time."""
+        size = len(self.server.read_buffer)
+        for offset in range(0, len(data), size):
+            part = data[offset : offset + size]
+            self.server.read_buffer[: len(part)] = part
+            self.connection.buffer_updated(len(part))
+
+
+def http_server() -> HttpServer:
+    classes = {"canje": Idempotency.NOT_IDEMPOTENT, "stock": Idempotency.IDEMPOTENT}
+    return HttpServer(classes, HoldingHandler(), 1024, MEMORY_LIMIT_MB, {}, max_body_bytes=MAX_MESSAGE_BYTES)
+
+
+def test_the_body_of_a_rejected_request_is_freed_with_its_share_of_the_pool() -> None:
+    """Guards against a pool that new bodies fill while those of rejected requests are still in memory."""
+
+    async def test() -> None:
+        server = http_server()
+        for class_name, text in (("nada", b"x" * 1_000_000), ("canje", b"x" * 1_000_000)):
+            client = FedConnection(server)
+            client.feed(post_head("a" * 16, None, class_name) + chunk(text))
+            assert bool(client.transport.written) == (class_name == "nada")
+            # The chunk size is no number, so the rest of the message can't be read.
+            client.feed(b"zz\r\n")
+            assert client.transport.written.startswith(b"HTTP/1.1 4")
+            assert (server.pooled_bytes, client.connection.body.content.size) == (0, 0)
+
+    run_async(test())
+
+
+def test_bodies_that_share_a_connection_have_shares_of_the_pool_of_their_own() -> None:
+    """Guards against a pool that counts only one of two bodies, or is released while one is in use."""
+
+    async def test() -> None:
+        server = http_server()
+        client = FedConnection(server)
+        client.feed(post_head("a" * 16, 300_000) + bytes(300_000))
+        client.feed(post_head("b" * 16, 200_000) + bytes(100_000))
+        assert server.pooled_bytes >= 400_000
+        client.connection.respond(200, (), b"")
+        assert 100_000 <= server.pooled_bytes < 300_000
+        client.connection.connection_lost(None)
+        assert server.pooled_bytes == 0
+
+    run_async(test())
+
+
+def test_a_body_that_waits_for_its_endpoint_keeps_its_share_of_the_pool() -> None:
+    """Guards against buffered megabytes of a queued, streamed request that no limit counts."""
+
+    async def test() -> None:
+        server = http_server()
+        client = FedConnection(server)
+        size = MAX_POOLED_BODY_BYTES + 100_000
+        client.feed(post_head("a" * 16, size + 100_000) + bytes(size))
+        body = client.connection.body
+        assert not body.is_replayable
+        assert server.pooled_bytes >= MAX_POOLED_BODY_BYTES - len(server.read_buffer)
+        assert sum(map(len, body.take_parts())) == size
+        assert server.pooled_bytes == 0
+
+    run_async(test())
