Let clients that send at full speed read in turns, so that they delay no other client

Cause: the event loop reads from a socket until it is empty, up to 32 read buffers, and the parser calls Python for each chunk. 24 such sockets take seconds in one iteration; timers and all other sockets wait.

Change: a connection that fills the read buffer waits for its turn (read_turns.py); one of them reads in each iteration.

--- a/service_proxy/net/downstream/connection.py
+++ b/service_proxy/net/downstream/connection.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from service_proxy.net.downstream.read_turns import ReadTurns
 from service_proxy.net.downstream.request import (
     BadRequestError,
     LocalResponse,
@@ -18,8 +19,6 @@
     UpgradeRequest,
 )
 from service_proxy.net.downstream.request_reader import (
-    MAX_HEAD_BYTES,
-    MAX_RAW_REQUEST_BYTES,
     ReaderServer,
     RequestReader,
 )
@@ -40,6 +39,7 @@
 
     loop: asyncio.AbstractEventLoop
     handler: RequestHandler
+    read_turns: ReadTurns
     request_counter: RequestCounter | None
     rejection_headers: tuple[tuple[bytes, bytes], ...]
     request_timeout: float
@@ -65,6 +65,7 @@
         discarding_input: further input is read and discarded, so that the client receives the response.
         is_closing: the last response has been written, or the connection is aborted, detached or lost.
         over_limit: the connection was accepted above the server's limit; its requests are rejected.
+        awaits_read_turn: reading is paused until the connection's turn in `ReadTurns`.
         state_since: when `state_table` last changed or the timeout restarted (monotonic, s).
         last_unsent_bytes: response bytes that the client had not read at the previous linger timeout.
         write_blocked: the write buffer is full because the client does not read.
@@ -72,6 +73,7 @@
     """
 
     __slots__ = (
+        "awaits_read_turn",
         "current_request",
         "discarding_input",
         "is_closing",
@@ -105,6 +107,7 @@
         self.discarding_input = False
         self.is_closing = False
         self.over_limit = False
+        self.awaits_read_turn = False
         self.state_since = 0.0
         self.write_blocked = False
         self.read_paused = False
@@ -150,10 +153,14 @@
         self._update_flow_control()
 
     def _update_flow_control(self) -> None:
-        """Pause reading while the client does not read, requests are queued or the body buffer is full."""
+        """Pause reading while the client does not read, requests are queued or the body buffer is full.
+
+        Reading is also paused until the connection's next turn after the client has filled the read buffer.
+        """
         if self.transport is not None and not self.is_closing:
             # Queued requests pause reading, so a connection buffers the bodies of at most one read.
-            pause = self.write_blocked or bool(self.pending_requests) or self.body.is_full
+            has_buffers_full = self.body.is_full or bool(self.pending_requests)
+            pause = self.write_blocked or self.awaits_read_turn or has_buffers_full
             if pause and not self.read_paused:
                 self.transport.pause_reading()
             elif self.read_paused and not pause:
@@ -170,28 +177,25 @@
         if self.upgrade_pending:
             self._reject_early_frames()
             return
-        if not self.raw_bytes and not self.in_message:
-            self.progress_at = time.monotonic()
-        self.raw_bytes += nbytes
         try:
-            self.parser.feed_data(self.server.read_buffer[:nbytes])
-            # httptools buffers an endless header without a callback, so the raw bytes are counted here.
-            if self.raw_bytes > MAX_HEAD_BYTES and not self.head_done:
-                raise BadRequestError(431, "headers too large")  # noqa: TRY301 - one handler for all errors
-            if self.raw_bytes > MAX_RAW_REQUEST_BYTES + 8 * self.body.received_bytes:
-                raise BadRequestError(413, "the request does not end")  # noqa: TRY301
-        except Exception as error:  # noqa: BLE001 - from the parser, or from a callback through it
-            if isinstance(error, httptools.HttpParserUpgrade) and self.server.upgrade_handler is not None:
-                self._start_upgrade(nbytes > error.args[0])
-                return
-            cause = error if isinstance(error, BadRequestError) else error.__context__
-            self._reject_input(
-                cause if isinstance(cause, BadRequestError) else BadRequestError(400, "malformed HTTP")
-            )
+            error = self._parse_input(nbytes)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._start_upgrade(nbytes > upgrade.args[0])
+            return
+        if error is not None:
+            self._reject_input(error)
+        if nbytes == len(self.server.read_buffer):
+            self.awaits_read_turn = True
+            self.server.read_turns.wait(self)
         if self.state_table is self.server.idle and not self.pending_requests:
             self.server.set_state(self, self.server.awaiting_request)  # A further request has begun.
         self._dispatch_next()
 
+    def on_read_turn(self) -> None:
+        """Continue reading from a client that filled the read buffer."""
+        self.awaits_read_turn = False
+        self._update_flow_control()
+
     def _start_upgrade(self, has_surplus: bool) -> None:
         """Dispatch an upgrade request; `has_surplus`: further bytes directly follow the request."""
         request, _ = self.pending_requests.pop()
--- a/service_proxy/net/downstream/http_server.py
+++ b/service_proxy/net/downstream/http_server.py
@@ -8,6 +8,7 @@
 from typing import cast
 
 from service_proxy.net.downstream.connection import DownstreamConnection
+from service_proxy.net.downstream.read_turns import ReadTurns
 from service_proxy.net.downstream.request import LocalResponses, RequestCounter, RequestHandler
 from service_proxy.net.downstream.request_parser import MAX_BUFFERED_BODY_BYTES, NO_HEADER_NAMES
 from service_proxy.net.downstream.request_reader import UpgradeHandler
@@ -67,6 +68,7 @@
         request_timeout: REQUEST_TIMEOUT_S, for a request that begins to arrive while another one is open.
         upgrade_handler: handler of upgrade requests; None: upgrade requests are rejected.
         read_buffer: buffer that all connections read into, one at a time.
+        read_turns: turns of the connections that fill the read buffer.
         pooled_bytes: bytes of buffered bodies, at most `pool_bytes`.
         awaiting_request: connections whose next request is not complete.
         idle: connections that have received a response and have sent no further request.
@@ -98,6 +100,7 @@
         self.request_timeout = REQUEST_TIMEOUT_S
         self.upgrade_handler: UpgradeHandler | None = None
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
+        self.read_turns = ReadTurns(self.loop)
         self.pooled_bytes = 0
         self.max_descriptors = max_descriptors
         self.memory_mb = memory_mb
--- a/service_proxy/net/downstream/request_reader.py
+++ b/service_proxy/net/downstream/request_reader.py
@@ -11,6 +11,8 @@
 from collections.abc import Mapping
 from typing import Any, Protocol
 
+import httptools
+
 from service_proxy.net.downstream.request import (
     BadRequestError,
     LocalResponse,
@@ -122,6 +124,29 @@
         """Return the server's read buffer."""
         return self.server.read_buffer
 
+    def _parse_input(self, nbytes: int) -> BadRequestError | None:
+        """Parse bytes of the read buffer, and return the error that makes further input unreadable.
+
+        Raises:
+            httptools.HttpParserUpgrade: the bytes complete an upgrade request that has a handler.
+        """
+        if not self.raw_bytes and not self.in_message:
+            self.progress_at = time.monotonic()
+        self.raw_bytes += nbytes
+        try:
+            self.parser.feed_data(self.server.read_buffer[:nbytes])
+            # httptools buffers an endless header without a callback, so the raw bytes are counted here.
+            if self.raw_bytes > MAX_HEAD_BYTES and not self.head_done:
+                return BadRequestError(431, "headers too large")
+            if self.raw_bytes > MAX_RAW_REQUEST_BYTES + 8 * self.body.received_bytes:
+                return BadRequestError(413, "the request does not end")
+        except Exception as error:
+            if isinstance(error, httptools.HttpParserUpgrade) and self.server.upgrade_handler is not None:
+                raise
+            cause = error.__context__
+            return cause if isinstance(cause, BadRequestError) else BadRequestError(400, "malformed HTTP")
+        return None
+
     # Callbacks of httptools
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
