Bound the header fields of a request, and queue small responses instead of errors

- 150 clients that send 30 KB of fields such as `a:b` took a proxy to 132 MB with a limit of 64 (0.70 MB for each connection; the server reckons with 0.125).
- 20 clients with 2,500 invalid requests behind an open one took a proxy to 139 MB with a limit of 64 (4.9 MB for each connection), since a queued error refers to the frames in which it was raised.

Left: 1,100 valid requests behind an open one, in one read, take 0.85 MB for a connection.

--- a/service_proxy/net/downstream/connection.py
+++ b/service_proxy/net/downstream/connection.py
@@ -242,13 +242,14 @@
         if early_request is None or early_request.body.is_complete:
             if self.in_message:
                 self._drop_body()
-            self.pending_requests.append((error, False))
+            self.pending_requests.append((error.response(), False))
         elif early_request is not self.current_request:  # The request is still queued.
-            self.pending_requests[-1] = error, False
+            self.pending_requests[-1] = error.response(), False
         elif self.response_due and self.response_source is None:
             # The handler has the request but can't receive the rest of its body, so nothing was executed.
             self._abandon_open_request()
-            self.respond(error.status_code, NO_HEADERS, f"{error}\n".encode())
+            response = error.response()
+            self.respond(response.status_code, NO_HEADERS, response.body)
 
     def _abandon_open_request(self) -> None:
         """Notify the handler that the client no longer waits for the open request."""
@@ -268,8 +269,6 @@
             self.server.set_state(self, self.server.awaiting_request if body_incomplete else None)
             if isinstance(request, LocalResponse):
                 self.respond(request.status_code, NO_HEADERS, request.body)
-            elif isinstance(request, BadRequestError):
-                self.respond(request.status_code, NO_HEADERS, f"{request}\n".encode())
             elif self.over_limit:
                 # Nothing was executed, because the request is rejected before it is forwarded. The connection
                 # stays open until each request of the same read has received its response.
--- a/service_proxy/net/downstream/request.py
+++ b/service_proxy/net/downstream/request.py
@@ -93,7 +93,7 @@
 
 
 class LocalResponse(NamedTuple):
-    """Response of the proxy itself to a GET of a local path."""
+    """Response of the proxy itself: to a GET of a local path, or to an invalid request."""
 
     status_code: int
     body: bytes
@@ -113,3 +113,11 @@
     def __init__(self, status_code: int, text: str) -> None:
         super().__init__(text)
         self.status_code = status_code
+
+    def response(self) -> LocalResponse:
+        """Return the response to the request.
+
+        Many pipelined requests may wait for their responses, and the error itself refers to the frames in
+        which it was raised.
+        """
+        return LocalResponse(self.status_code, f"{self}\n".encode())
--- a/service_proxy/net/downstream/request_reader.py
+++ b/service_proxy/net/downstream/request_reader.py
@@ -26,6 +26,7 @@
     validate_head,
 )
 from service_proxy.net.header_fields import closes_connection, parse_field
+from service_proxy.net.limits import MAX_HEADER_FIELDS
 from service_proxy.net.request_body import RequestBody
 from service_proxy.policy.settings_types import Idempotency
 
@@ -42,7 +43,7 @@
 MAX_QUICK_HEAD_S = 0.5
 SLOW_HEAD_PROGRESS_BYTES = 8 * 1024
 
-PendingRequest = Request | BadRequestError | LocalResponse | UpgradeRequest
+PendingRequest = Request | LocalResponse | UpgradeRequest
 
 
 class UpgradeHandler(Protocol):
@@ -166,8 +167,11 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header field, but ignore a trailer field."""
         self._count_head(len(name) + len(value))
-        if not self.head_done:
-            self.headers.append(parse_field(name, value))
+        if self.head_done:
+            return
+        if len(self.headers) == MAX_HEADER_FIELDS:
+            raise BadRequestError(431, "too many header fields")
+        self.headers.append(parse_field(name, value))
 
     def _count_head(self, size: int) -> None:
         self.head_size += size
@@ -303,14 +307,14 @@
             try:
                 request = self._parse_request()
             except BadRequestError as error:
-                request = error
+                request = error.response()
                 self._drop_body()
         self.headers = []
         self.pending_requests.append((request, keep_alive))
 
-    def _upgrade_request(self, method: bytes) -> UpgradeRequest | BadRequestError:
+    def _upgrade_request(self, method: bytes) -> UpgradeRequest | LocalResponse:
         if self.server.upgrade_handler is None:
-            return BadRequestError(400, "no upgrades")
+            return BadRequestError(400, "no upgrades").response()
         has_body = self.body.received_bytes > 0 or bool(self.body.length)
         version = self.parser.get_http_version()
         return UpgradeRequest(method, self.target, version, self.headers, has_body, False)
--- a/service_proxy/net/limits.py
+++ b/service_proxy/net/limits.py
@@ -11,3 +11,5 @@
 # Delay of a timer that counts as a stall of the event loop; the sockets are then read before the timer acts.
 LOOP_STALL_S = 0.01
 LOOP_ITERATION_S = 0.001  # Delay of a postponed timer; during the delay the event loop reads its sockets.
+# Maximum number of header fields of a message. A field takes about 160 bytes of memory beside its text.
+MAX_HEADER_FIELDS = 100
