Keep polls of discovery in flight while the next one starts, and use the first answer

Seen by callers: nothing directly; backends that were taken out went on getting requests.

Cause: a proxy gave up a watch 1.0 s after its wait, then two polls after 1.5 s each, and closed their connections. An answer that takes longer than that never arrived, however often the proxy asked. It then reported a failure and paused.

No call failed. A lost watch (the other explanation) is ruled out: the stand-in had each call and still held it. With the next call that could wait, the same service answered after 1.80 s.

Change: PollsInFlight runs up to three polls for the same version at once; the first answer counts and ends the others. The number and the times of the polls stay as they were. An agent that pushes lists is still polled one at a time. New log line discovery_poll_unanswered.

--- a/service_proxy/net/discovery.py
+++ b/service_proxy/net/discovery.py
@@ -1,8 +1,8 @@
 """Discovery client: polls for complete endpoint lists (fetch) or for changes (watch).
 
 A watch is a poll that the service answers when the list changes, or after the wait that the poll requests.
-After a watch times out, the client sends polls without a wait until one is answered or the failure is
-reported to the policy.
+After a watch times out, the client sends polls without a wait until one of the polls in flight is answered or
+the failure is reported to the policy.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 from random import Random
 
 from service_proxy.net.discovery_connection import DiscoveryConnection
+from service_proxy.net.discovery_polls import PollsInFlight
 from service_proxy.net.endpoint_list import Address, EndpointList, parse_endpoint_list
 from service_proxy.net.http_status import OK
 from service_proxy.net.poll_schedule import PollSchedule
@@ -113,70 +114,88 @@
                 task.cancel()
 
     async def _run_watch(self) -> None:
-        """Poll until a poll fails outside the retry window, or until cancelled if lists are pushed.
+        """Poll until a failure is reported to the policy, or until cancelled if lists are pushed.
 
-        The failure is reported to the policy, which decides about a new watch.
+        The policy decides about a new watch.
+        """
+        polls = PollsInFlight(self._poll)
+        loop = asyncio.get_running_loop()
+        try:
+            started_at = loop.time()
+            while await self._receive_list(polls):
+                await asyncio.sleep(max(0.0, started_at + MIN_WATCH_SPACING_S - loop.time()))
+                started_at = loop.time()
+            self.on_failed()
+        finally:
+            polls.close()
+
+    async def _receive_list(self, polls: PollsInFlight) -> bool:
+        """Poll until a list arrives; return False if a poll fails outside the retry window.
+
+        A poll without an answer stays in flight beside the next one: discovery may need longer for each
+        answer than this client waits before it polls again.
         """
-        connection = DiscoveryConnection()
         loop = asyncio.get_running_loop()
         can_wait = True  # Whether the next poll may wait for a change; False after a failed poll.
-        failures = 0  # Number of failures in a row.
+        failures = 0
         # End of the retry window (loop time, s); failed polls are repeated until then.
         retry_until = -math.inf
         if self.version is None:
             retry_until = loop.time() + self.schedule.address_change_window
-        try:
-            while True:
-                started_at = loop.time()
-                schedule = self.schedule
-                error = await self._poll_change(connection, schedule, can_wait)
-                if error is None:
-                    can_wait = True
-                    retry_until = -math.inf
-                    failures = 0
-                    await asyncio.sleep(max(0.0, started_at + MIN_WATCH_SPACING_S - loop.time()))
-                    continue
-                timed_out = isinstance(error, TimeoutError)
-                if timed_out and can_wait and self.version is not None:
-                    # Changes that this poll missed count as notified after some time, by the platform's
-                    # rules. A poll without a wait returns these changes, or confirms that there was no
-                    # change.
-                    retry_until = loop.time() + schedule.retry_window
-                can_wait = False
-                if schedule.is_pushed or loop.time() >= retry_until:
-                    self.on_failed()
-                    if not schedule.is_pushed:
-                        return
-                failures += 1
-                if not timed_out:
-                    await asyncio.sleep(schedule.draw_backoff(failures, self.random.random()))
-        finally:
-            connection.close()
-
-    async def _poll_change(
-        self, connection: DiscoveryConnection, schedule: PollSchedule, can_wait: bool
-    ) -> Exception | None:
-        """Poll for changes since the known list, or for the whole list if no version is known."""
+        while True:
+            schedule = self.schedule
+            target, patience = self._next_poll(schedule, can_wait)
+            poll = polls.start(target, patience + schedule.late_answer_time, schedule.max_polls)
+            error = self._apply(await polls.first_outcome(patience, poll))
+            if error is None:
+                return True
+            timed_out = isinstance(error, TimeoutError)
+            if not poll.done():
+                log.warning("discovery_poll_unanswered address=%s:%d waited_s=%.2f", *self.address, patience)
+            if timed_out and can_wait and self.version is not None:
+                # Changes that this poll missed count as notified after some time, by the platform's rules. A
+                # poll without a wait returns these changes, or confirms that there was no change.
+                retry_until = loop.time() + schedule.retry_window
+            can_wait = False
+            if schedule.is_pushed:
+                self.on_failed()
+            elif loop.time() >= retry_until:
+                return False
+            failures += 1
+            if not timed_out:
+                backoff = schedule.draw_backoff(failures, self.random.random())
+                if self._apply(await polls.first_outcome(backoff)) is None:
+                    return True
+
+    def _next_poll(self, schedule: PollSchedule, can_wait: bool) -> tuple[str, float]:
+        """Return the target of the next poll, and the time (s) after which another poll starts beside it.
+
+        The poll is for changes since the known list, or for the whole list if no version is known.
+        """
         if self.version is None:
-            return await self._poll(connection, LIST_PATH, schedule.first_list_timeout)
+            return LIST_PATH, schedule.first_list_timeout
         wait = round(schedule.draw_watch_wait(self.random.random()), 3) if can_wait else 0.0
         target = f"{LIST_PATH}?from={self.version}&hold_ms={wait * 1000:.0f}"
-        timeout = wait + (schedule.silence_timeout if can_wait else schedule.call_timeout)
-        return await self._poll(connection, target, timeout)
+        return target, wait + (schedule.silence_timeout if can_wait else schedule.call_timeout)
 
     async def _run_fetch(self) -> None:
         connection = DiscoveryConnection()
         try:
-            if await self._poll(connection, LIST_PATH, self.schedule.first_list_timeout) is not None:
+            endpoint_list = await self._poll(connection, LIST_PATH, self.schedule.first_list_timeout)
+        except Exception:  # noqa: BLE001 - any error ends only this poll, which has logged the error
+            self.on_failed()
+        else:
+            if self._apply(endpoint_list) is not None:
                 self.on_failed()
         finally:
             connection.close()
 
-    async def _poll(self, connection: DiscoveryConnection, target: str, timeout: float) -> Exception | None:
-        """Poll once; return the error, or None on success.
+    async def _poll(self, connection: DiscoveryConnection, target: str, timeout: float) -> EndpointList:
+        """Poll once, and return the list.
 
-        An error ends only this poll, because a watch that ended without notifying the policy would never be
-        renewed.
+        Raises:
+            TimeoutError: The poll is not answered in time, or its answer stalls.
+            Exception: The poll failed, or the answer is malformed.
         """
         schedule = self.schedule
         try:
@@ -185,11 +204,27 @@
             )
             if status_code != OK:
                 raise ValueError(f"status {status_code}")  # noqa: TRY301 - one error path for all failures
-            endpoint_list = parse_endpoint_list(json.loads(body), WALL_CLOCK_OFFSET_S)
-            self.on_list(endpoint_list)
+            return parse_endpoint_list(json.loads(body), WALL_CLOCK_OFFSET_S)
+        except Exception as error:
+            self._log_failure(error)
+            raise
+
+    def _apply(self, outcome: EndpointList | Exception) -> Exception | None:
+        """Apply the list of an answered poll; return the error of a poll that failed.
+
+        An error ends only this poll, because a watch that ended without notifying the policy would never be
+        renewed.
+        """
+        if isinstance(outcome, Exception):
+            return outcome
+        try:
+            self.on_list(outcome)
         except Exception as error:  # noqa: BLE001 - any error ends only this poll
-            reason = str(error)[:MAX_LOGGED_ERROR_CHARS] or type(error).__name__
-            log.warning("discovery_poll_failed address=%s:%d reason=%s", *self.address, reason)
+            self._log_failure(error)
             return error
-        self.version = endpoint_list.version
+        self.version = outcome.version
         return None
+
+    def _log_failure(self, error: Exception) -> None:
+        reason = str(error)[:MAX_LOGGED_ERROR_CHARS] or type(error).__name__
+        log.warning("discovery_poll_failed address=%s:%d reason=%s", *self.address, reason)
--- a/service_proxy/net/poll_schedule.py
+++ b/service_proxy/net/poll_schedule.py
@@ -19,6 +19,7 @@
 # Range of the waits around WATCH_WAIT_S, as a share of WATCH_WAIT_S. A change ends the polls of many proxies
 # at once, and random waits spread the next polls.
 WATCH_WAIT_SPREAD = 0.5
+CALLS_IN_RETRY_WINDOW = 2  # Number of unanswered calls that fit into the retry window.
 RETRY_SPACING_S = 0.2  # Time between the first polls after a failure.
 # Maximum number of doublings of RETRY_SPACING_S; the result exceeds every max_backoff.
 MAX_BACKOFF_DOUBLINGS = 10
@@ -42,11 +43,16 @@
     is_pushed: bool
     watch_wait: float  # Mean wait of a poll.
     watch_wait_spread: float  # Range of the waits around the mean.
-    silence_timeout: float  # Time after the wait of a poll at which the poll times out.
+    silence_timeout: float  # Time after the wait of a poll at which the next poll starts beside it.
     retry_window: float  # Time after a silence timeout in which polls repeat until one is answered.
-    call_timeout: float  # Timeout of a poll without a wait, and of the rest of a response that has begun.
+    # Time after a poll without a wait at which the next poll starts beside it, and timeout of the rest of a
+    # response that has begun.
+    call_timeout: float
     retry_spacing: float  # Initial time between polls after a failure.
     max_backoff: float  # Upper bound of the growing time between polls after failures.
+    # Time for which a poll stays in flight beside the next ones; 0: it is cancelled when the next one starts.
+    late_answer_time: float
+    max_polls: int  # Maximum number of polls in flight.
     connect_timeout: float
     # Time after a change of address in which polls repeat until one is answered.
     address_change_window: float
@@ -88,13 +94,15 @@
             call_timeout=wait,
             retry_spacing=wait / 4,
             max_backoff=wait / 4,
+            late_answer_time=0.0,
+            max_polls=1,
             connect_timeout=wait / 2,
             address_change_window=address_change_window,
             first_list_timeout=wait,
         )
     silence_timeout = SILENT_CALL_NOTIFIED_S / 2
     retry_window = SILENT_CALL_NOTIFIED_S - silence_timeout + drain_grace
-    call_timeout = retry_window / 2  # Two calls fit into the retry window.
+    call_timeout = retry_window / CALLS_IN_RETRY_WINDOW
     first_list_timeout = address_change_window / 2
     return PollSchedule(
         is_pushed=False,
@@ -105,6 +113,8 @@
         call_timeout=call_timeout,
         retry_spacing=RETRY_SPACING_S,
         max_backoff=call_timeout,
+        late_answer_time=max(retry_window, address_change_window),
+        max_polls=1 + CALLS_IN_RETRY_WINDOW,
         connect_timeout=min(MAX_CONNECT_TIMEOUT_S, call_timeout / 2),
         address_change_window=address_change_window,
         first_list_timeout=first_list_timeout,
--- a/tests/net/test_discovery_polling.py
+++ b/tests/net/test_discovery_polling.py
@@ -98,6 +98,7 @@
         # Connection number and target of each poll.
         self.received_polls: asyncio.Queue[tuple[int, str]] = asyncio.Queue()
         self.connections = 0
+        self.ended_connections = 0
 
     async def start(self) -> tuple[str, int]:
         self.server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
@@ -113,6 +114,7 @@
                 self.received_polls.put_nowait((number, target))
                 if self.script:
                     await self.script.pop(0)(target, writer)
+        self.ended_connections += 1
         writer.close()
 
     async def next(self) -> tuple[int, str]:
@@ -211,6 +213,52 @@
     run_async(test())
 
 
+@pytest.mark.parametrize("answered_poll", [1, 2, 3])
+def test_a_poll_that_is_answered_late_is_not_given_up(answered_poll: int) -> None:
+    """Guards against a slow discovery that is never heard, as each poll is given up before its answer."""
+
+    async def test() -> None:
+        all_polls_received = asyncio.Event()
+
+        async def send_list_after_last_poll(target: str, writer: asyncio.StreamWriter) -> None:
+            await all_polls_received.wait()
+            await send_list(4)(target, writer)
+
+        script = [send_nothing, send_nothing, send_nothing]
+        script[answered_poll - 1] = send_list_after_last_poll
+        server = ScriptedDiscovery(*script)
+        client_under_test = ClientUnderTest(replace(QUICK, call_timeout=1.0, retry_window=60.0))
+        discovery = await client_under_test.connect(server)
+        discovery.watch(True)
+        for number, wait in ((1, 100), (2, 0), (3, 0)):
+            assert await server.next() == (number, f"/v1/servers?from=3&hold_ms={wait}")
+        all_polls_received.set()
+        assert (await client_under_test.list()).version == 4
+        # The connection of the answered poll is used again.
+        assert await server.next() == (answered_poll, "/v1/servers?from=4&hold_ms=100")
+        discovery.stop()
+
+    run_async(test())
+
+
+def test_polls_of_a_silent_service_are_few_at_once() -> None:
+    """Guards against connections that pile up while discovery accepts polls and answers none."""
+
+    async def test() -> None:
+        server = ScriptedDiscovery()
+        client_under_test = ClientUnderTest(
+            replace(QUICK, silence_timeout=0.01, call_timeout=0.01, retry_window=60.0)
+        )
+        discovery = await client_under_test.connect(server)
+        discovery.watch(True)
+        for _ in range(20):
+            await server.next()
+        assert server.connections - server.ended_connections <= client_under_test.schedule.max_polls + 1
+        discovery.stop()
+
+    run_async(test())
+
+
 def test_a_response_that_stalls_times_out_before_the_wait_of_the_poll_is_over() -> None:
     async def test() -> None:
         server = ScriptedDiscovery(send_partial_response, send_list(4))
