Count what a failed watch owed when the pause before the next one is drawn

Cause: EndpointWatch subtracted the time of the failed poll only if that was under 2 s, and took any longer watch as active until its failure. A watch that discovery lets wait and then turns away owes its answer from before that.

--- a/service_proxy/policy/endpoint_watch.py
+++ b/service_proxy/policy/endpoint_watch.py
@@ -9,7 +9,6 @@
 from service_proxy.policy.events import ListScope
 from service_proxy.policy.settings_types import Settings
 from service_proxy.policy.settings_user import SettingsUser
-from service_proxy.policy.timing import CONTROL_INTERVAL_S
 
 # Discovery has little capacity and all proxies may start at once, so the first watches are spread over time.
 # Until its first watch, a proxy is only required to follow the list that it was started with.
@@ -67,11 +66,8 @@
         spaced. The first backoff is drawn from the whole available time, and each later backoff from the last
         fifth of this time, which preserves the spacing.
         """
-        failed_for = now - self.last_update_at
-        if failed_for > MAX_POLL_FAILURE_S + CONTROL_INTERVAL_S:
-            # A poll fails within MAX_POLL_FAILURE_S, so this watch was active until now and no time is
-            # subtracted.
-            failed_for = 0.0
+        # A watch that failed may have owed an answer for this time, however long it was active before.
+        failed_for = min(now - self.last_update_at, MAX_POLL_FAILURE_S)
         longest = FAILED_POLL_NOTIFIED_S + self.settings.drain_grace - POLL_ANSWER_S - failed_for
         longest = min(longest, self.settings.max_poll_interval)
         shortest = 0.0 if self.failures == 1 else MIN_BACKOFF_SHARE * longest
--- a/tests/policy/test_endpoint_watch.py
+++ b/tests/policy/test_endpoint_watch.py
@@ -15,7 +15,7 @@
     ListScope,
     WatchEndpoints,
 )
-from service_proxy.policy.endpoint_watch import FAILED_POLL_NOTIFIED_S, POLL_ANSWER_S
+from service_proxy.policy.endpoint_watch import FAILED_POLL_NOTIFIED_S, MAX_POLL_FAILURE_S, POLL_ANSWER_S
 
 PROXY_COUNT = 200  # Proxies that poll the same discovery.
 
@@ -47,7 +47,7 @@
     driver = BalancerDriver(settings(polls_discovery=True, drain_grace=drain_grace), seed=seed)
     began_at = driver.now
     started: list[float] = []
-    while driver.now < began_at + 30.0:
+    while driver.now < began_at + max(30.0, 4 * poll_duration):
         if WatchEndpoints(True) in driver.advance(0.05):
             started.append(driver.now - began_at)
             driver.advance(poll_duration)
@@ -70,6 +70,24 @@
         assert max(gaps) + POLL_ANSWER_S <= FAILED_POLL_NOTIFIED_S + drain_grace + 0.1
 
 
+@pytest.mark.parametrize("drain_grace", [0.5, 2.0])
+@pytest.mark.parametrize("active_for", [2.0, 2.2, 5.0, 20.0])
+def test_watch_that_fails_after_a_long_wait_is_repeated_within_the_drain_grace(
+    active_for: float, drain_grace: float
+) -> None:
+    """Guards against a pause that ignores the time for which the failed watch owed its answer.
+
+    Discovery had the change up to MAX_POLL_FAILURE_S before the watch failed.
+    """
+    backoffs = []
+    for seed in range(100):
+        started = watch_starts_in_outage(seed, active_for, drain_grace)
+        backoffs.append(started[1] - started[0] - active_for)
+    # The tolerance is two control steps.
+    notified_after = FAILED_POLL_NOTIFIED_S + drain_grace - MAX_POLL_FAILURE_S
+    assert max(backoffs) + POLL_ANSWER_S <= notified_after + 0.1
+
+
 def test_watches_of_a_fleet_that_failed_together_are_evenly_spaced() -> None:
     # Guards against bursts of polls after an outage: discovery answers about 40 polls per second one after
     # another, and a poll that waits for 2 s fails.
