Use a connection to an endpoint again 20 ms after its last response, not 1 ms

Cause: an endpoint's second copy of a response comes some milliseconds after it. The connection was used again after 1 ms, so the copy was read as the response to the next request; the connection then went back with its own request still in work, and each later client of it was served the response before its own.

Evidence: the new test delays the copy by 8 ms and fails before in 3 of 3 runs (the second request is served the body of the first), and passes now in 3 of 3; only the delay differs. A copy that comes while nothing is in flight closes its connection, before and now.

Change: REUSE_DELAY_S is 20 ms, more than twice "some milliseconds". If all idle connections were released within this time, the one released first is taken and waited for, instead of the last one.

--- a/service_proxy/net/upstream/endpoint_pool.py
+++ b/service_proxy/net/upstream/endpoint_pool.py
@@ -7,13 +7,12 @@
 from typing import Protocol
 
 from service_proxy.net.endpoint_list import Address
-from service_proxy.net.limits import LOOP_ITERATION_S
 from service_proxy.net.upstream.connection import ConnectionCluster, UpstreamConnection
 from service_proxy.policy.events import EndpointState
 
-# Pause between a response and the next use of its connection; excess bytes that arrive meanwhile are
-# detected.
-REUSE_DELAY_S = LOOP_ITERATION_S
+# Pause between a response and the next use of its connection. A second copy of the response can follow some
+# milliseconds later (operators' page STANDING); after the next request it would be read as its response.
+REUSE_DELAY_S = 0.02
 
 
 class PoolCluster(ConnectionCluster, Protocol):
@@ -55,7 +54,8 @@
         """Return the most recently used idle connection, or None if no idle connection is usable.
 
         The connections that are not returned stay idle, and are closed after the idle timeout. A connection
-        that was released less than REUSE_DELAY_S ago is returned only if there is no other.
+        that was released less than REUSE_DELAY_S ago is returned only if there is no other; it is the one
+        that was released first.
         """
         now = time.monotonic()
         idle_cutoff = now - self.cluster.idle_timeout
@@ -64,8 +64,6 @@
             index = len(self.idle) - 1
             while index and self.idle[index].idle_since > reuse_cutoff:
                 index -= 1
-            if self.idle[index].idle_since > reuse_cutoff:
-                index = -1
             connection = self.idle.pop(index)
             self.cluster.idle_connections.pop(connection, None)
             if connection.transport is not None and not connection.transport.is_closing():
--- a/tests/net/test_upstream_responses.py
+++ b/tests/net/test_upstream_responses.py
@@ -19,6 +19,7 @@
     ReceivedRequest,
     long_timeout_settings,
     proxy_under_test,
+    repeat_until_timely,
     response,
     run_async,
 )
@@ -70,6 +71,53 @@
             await endpoint.closed_connections.get()
 
 
+LATE_COPY_S = 0.008  # Time from a response to its second copy: "some milliseconds" (operators' page).
+
+
+def test_a_late_second_copy_of_a_response_is_not_delivered_to_the_next_request() -> None:
+    """Guards against a connection that is used again before the second copy of its last response has come.
+
+    The next client would be served with it, and each later client of the connection with the response before
+    its own.
+    """
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        copy_sent = asyncio.Event()
+        copy_delay = 0.0
+
+        async def respond(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            nonlocal copy_delay
+            request_id = received.headers["x-call-id"]
+            writer.write(response(200, request_id.encode()))
+            responded_at = loop.time()
+            if request_id.startswith("a"):
+                await asyncio.sleep(LATE_COPY_S)
+                writer.write(response(200, request_id.encode()))
+                copy_delay = loop.time() - responded_at
+                copy_sent.set()
+
+        async def set_up(number: int) -> bool:
+            copy_sent.clear()
+            replies = [
+                await client.request("canje", f"{letter}{number:015x}", LONG_TIME_BUDGET) for letter in "abc"
+            ]
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                await copy_sent.wait()
+            if copy_delay > 2 * LATE_COPY_S:
+                return False
+            assert [reply.status_code for reply in replies] == [200] * 3
+            assert [reply.body for reply in replies] == [b"%c%015x" % (ord(x), number) for x in "abc"]
+            return True
+
+        endpoint = EndpointServer(respond)
+        async with proxy_under_test({"s-1": endpoint}, **long_timeout_settings()) as proxy:
+            client = await proxy.connect()
+            await repeat_until_timely(set_up)
+
+    run_async(test())
+
+
 @pytest.mark.parametrize("spoilt", INVALID_RESPONSES.values(), ids=INVALID_RESPONSES)
 def test_an_invalid_response_ends_its_attempt_at_once(spoilt: bytes) -> None:
     async def respond(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
