Do not restart the poll of a new discovery address because the policy starts a watch

Cause: the policy draws its first watch from the first 5 s of a process. DiscoveryClient.watch ended the poll under way, also that of a new address, and asked again; a service that needs some time for each answer is then heard later.

Evidence: the new test starts a watch while the first list of a new address is under way, and answers that poll: the list never arrives before, and does now.

--- a/service_proxy/net/discovery.py
+++ b/service_proxy/net/discovery.py
@@ -83,8 +83,13 @@
             self.start()
 
     def watch(self, enabled: bool) -> None:
-        """Restart the watch if enabled, otherwise cancel it."""
+        """Restart the watch if enabled, otherwise cancel it.
+
+        A watch that polls a new address for its first list is not restarted: that would only delay the list.
+        """
         if self._watch_task is not None:
+            if enabled and self.version is None and not self._watch_task.done():
+                return
             self._watch_task.cancel()
             self._watch_task = None
         if enabled:
@@ -97,6 +102,7 @@
         watch requests the whole list at once, and changes after that.
         """
         self.stop()
+        self._watch_task = None
         self.address = address
         self.version = None
         self.watch(True)
--- a/tests/net/test_discovery_polling.py
+++ b/tests/net/test_discovery_polling.py
@@ -333,6 +333,30 @@
     run_async(test())
 
 
+def test_a_new_watch_does_not_delay_the_first_list_of_a_new_address() -> None:
+    """Guards against a poll of a new address that is given up because the policy starts a watch."""
+
+    async def test() -> None:
+        watch_started = asyncio.Event()
+
+        async def send_list_after_watch(target: str, writer: asyncio.StreamWriter) -> None:
+            await watch_started.wait()
+            await send_list(9, snapshot=True)(target, writer)
+
+        server = ScriptedDiscovery(send_list_after_watch)
+        client_under_test = ClientUnderTest(QUICK)
+        discovery = await client_under_test.connect(ScriptedDiscovery())
+        discovery.change_address(await server.start())
+        assert await server.next() == (1, "/v1/servers")
+        discovery.watch(True)
+        watch_started.set()
+        assert (await client_under_test.list()).version == 9
+        assert (await server.next())[1].startswith("/v1/servers?from=9&")
+        discovery.stop()
+
+    run_async(test())
+
+
 def test_a_watch_continues_from_a_lower_list_version() -> None:
     async def test() -> None:
         server = ScriptedDiscovery(send_list(2, snapshot=True), send_list(1))
