Bound the memory of a response as that of a request: fields, and pieces of the body

Change: at most 100 fields, otherwise the response is unusable (its request may have run); the buffered body and the pieces of a streamed one are joined by BlockBuffer, so that one read is written to the client as few pieces.

Evidence: an endpoint that answers with 101 fields was served before (the new case of an_invalid_response fails), and is 502 now. A kill by responses alone was not shown: with 100 clients and endpoints that answer in chunks of two bytes the process stayed within 64 MB before, too, since the concurrency limit holds the attempts down.

--- a/service_proxy/net/upstream/connection.py
+++ b/service_proxy/net/upstream/connection.py
@@ -14,9 +14,10 @@
 
 import httptools
 
+from service_proxy.net.block_buffer import BlockBuffer
 from service_proxy.net.header_fields import closes_connection, parse_field
 from service_proxy.net.http_status import CONTINUE, OK, SWITCHING_PROTOCOLS
-from service_proxy.net.limits import LOOP_ITERATION_S, LOOP_STALL_S, MAX_MESSAGE_BYTES
+from service_proxy.net.limits import LOOP_ITERATION_S, LOOP_STALL_S, MAX_HEADER_FIELDS, MAX_MESSAGE_BYTES
 from service_proxy.net.protocols import ResponseSink
 from service_proxy.net.request_body import RequestBody, encode_chunk
 from service_proxy.net.socket_polling import has_input
@@ -70,6 +71,7 @@
     Attributes:
         parser: One parser per attempt, so that data of the previous response cannot reach the next response.
         raw_bytes: Number of received bytes of the current response, including headers and chunk framing.
+        body: Received part of the current response's body that is not yet delivered.
         body_bytes: Number of received bytes of the current response's body.
         complete_response: Status code of a complete response that is not yet delivered, and whether the
             connection can be kept.
@@ -84,8 +86,8 @@
 
     __slots__ = (
         "attempt",
+        "body",
         "body_bytes",
-        "body_parts",
         "buffering_timer",
         "closes_after_response",
         "complete_response",
@@ -112,7 +114,7 @@
         self.attempt: UpstreamAttempt | None = None
         self.parser: Any = None
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body_parts: list[bytes] = []
+        self.body = BlockBuffer()
         self.raw_bytes = 0
         self.body_bytes = 0
         self.head_done = False
@@ -196,6 +198,7 @@
             self.fail_response()
         elif self.sink is not None:
             self.last_progress_at = self.pool.last_received_at
+            self._forward_body()
         elif self.body_bytes and self.response_length is None and self.buffering_timer is None:
             self._start_buffering_timer()
 
@@ -205,8 +208,8 @@
         (status_code, keep_alive), self.complete_response = self.complete_response, None
         headers = self.headers
         self.headers = []
-        body = b"".join(self.body_parts)
-        self.body_parts = []
+        self._forward_body()
+        body = b"".join(self.body.take())
         attempt = self.attempt
         self.attempt = None
         self.parser = None
@@ -258,16 +261,20 @@
         self.attempt = None
         headers = self.headers
         self.headers = []
-        body_parts = self.body_parts
-        self.body_parts = []
         self.last_progress_at = time.monotonic()
         attempt.on_response_streaming(self.parser.get_status_code(), headers, self, self.response_length)
         if self.sink is None:
             self.abort()  # The attempt attached no sink, because the request no longer needs the response.
             return
-        for part in body_parts:
-            if self.sink is not None:
-                self.sink.write(part)
+        self._forward_body()
+
+    def _forward_body(self) -> None:
+        """Write the buffered part of a streamed response to the sink."""
+        if self.sink is None:
+            return
+        for block in self.body.take():
+            if self.sink is not None:  # The sink may discard the rest of the response.
+                self.sink.write(block)
 
     def stream_to(self, sink: ResponseSink) -> None:
         """Stream the body to a sink from now on."""
@@ -365,9 +372,16 @@
             raise InvalidResponseError("second response to one request")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field of the response; trailer fields are ignored."""
-        if not self.head_done:
-            self.headers.append(parse_field(name, value))
+        """Collect a header field of the response; trailer fields are ignored.
+
+        Raises:
+            InvalidResponseError: the response has more than MAX_HEADER_FIELDS fields.
+        """
+        if self.head_done:
+            return
+        if len(self.headers) == MAX_HEADER_FIELDS:
+            raise InvalidResponseError("too many header fields")
+        self.headers.append(parse_field(name, value))
 
     def on_headers_complete(self) -> None:
         """Determine where the body ends, and whether the response can be buffered."""
@@ -402,13 +416,10 @@
         self.body_bytes += len(chunk)
         if self.body_bytes > MAX_MESSAGE_BYTES:
             raise InvalidResponseError("response body too large")
-        if self.sink is not None:
-            self.sink.write(chunk)
-            return
-        if self.complete_response is not None or self.attempt is None:
+        if self.sink is None and (self.complete_response is not None or self.attempt is None):
             return  # The status code has determined the outcome, or the attempt has ended.
-        self.body_parts.append(chunk)
-        if self.body_bytes > MAX_BUFFERED_BODY_BYTES:
+        self.body.append(chunk)
+        if self.sink is None and self.body_bytes > MAX_BUFFERED_BODY_BYTES:
             self._on_body_beyond_buffer()
 
     def on_message_complete(self) -> None:
@@ -432,7 +443,7 @@
         self.attempt = attempt
         self.parser = httptools.HttpResponseParser(self)
         self.headers = []
-        self.body_parts = []
+        self.body = BlockBuffer()
         self.raw_bytes = 0
         self.body_bytes = 0
         self.head_done = False
--- a/tests/net/test_memory_limits.py
+++ b/tests/net/test_memory_limits.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+import tracemalloc
 from collections.abc import Awaitable, Callable
 from typing import cast
 
@@ -23,6 +24,7 @@
 )
 
 from harness.proxy_process import process_memory_mb
+from service_proxy.net.block_buffer import BlockBuffer
 from service_proxy.net.downstream.connection import DownstreamConnection
 from service_proxy.net.downstream.http_server import HttpServer
 from service_proxy.net.downstream.request import Request, ResponseWriter
@@ -115,6 +117,25 @@
     check_peak_memory(20, send, respond_late)
 
 
+@pytest.mark.parametrize("size", [1, 2, 16, 100, 5000])
+def test_the_memory_of_a_buffer_does_not_depend_on_the_size_of_its_pieces(size: int) -> None:
+    """Guards against a bound on bytes that is passed in memory, on both sides of the proxy."""
+    count = 1_000_000 // size
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        buffer = BlockBuffer()
+        for _ in range(count):
+            buffer.append(bytes(size))
+        used = tracemalloc.get_traced_memory()[0] - before
+    finally:
+        tracemalloc.stop()
+    assert used <= 1.1 * count * size
+    assert buffer.size == count * size
+    assert b"".join(buffer.take()) == bytes(count * size)
+    assert (buffer.size, buffer.blocks) == (0, [])
+
+
 class FakeTransport:
     """Transport of a connection whose input the test supplies."""
 
--- a/tests/net/test_upstream_responses.py
+++ b/tests/net/test_upstream_responses.py
@@ -43,6 +43,7 @@
     "no length": OK + b"\r\nhello",
     "3 GB": OK + b"Content-Length: 3000000000\r\n\r\nhello",
     "huge length": OK + b"Content-Length: 99999999999999999999999999\r\n\r\nhello",
+    "many fields": OK + b"a:b\r\n" * 101 + b"Content-Length: 2\r\n\r\nok",
     "bad chunk": OK + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nhello",
     "upgrade": b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
 }
