--- a/service_proxy/net/downstream/connection.py
+++ b/service_proxy/net/downstream/connection.py
@@ -244,6 +244,7 @@
                 self._drop_body()
             self.pending_requests.append((error.response(), False))
         elif early_request is not self.current_request:  # The request is still queued.
+            self._drop_body()
             self.pending_requests[-1] = error.response(), False
         elif self.response_due and self.response_source is None:
             # The handler has the request but can't receive the rest of its body, so nothing was executed.
--- a/service_proxy/net/downstream/request_reader.py
+++ b/service_proxy/net/downstream/request_reader.py
@@ -9,6 +9,7 @@
 import time
 from collections import deque
 from collections.abc import Mapping
+from functools import partial
 from typing import Any, Protocol
 
 import httptools
@@ -254,13 +255,15 @@
         """Dispatch a request whose body is too long to be buffered; the rest of the body is streamed."""
         self.body.is_replayable = False
         self.early_request = self._parse_request()
-        self.body.on_drained = self._on_body_drained
+        self.body.on_drained = partial(self._on_body_drained, self.body)
         self.pending_requests.append((self.early_request, self._can_keep_alive()))
 
-    def _on_body_drained(self) -> None:
-        """Release the body's share of the pool, because its buffered part was forwarded, and read on."""
-        assert self.early_request is not None
-        self._release_pool(self.early_request.body)
+    def _on_body_drained(self, body: RequestBody) -> None:
+        """Release the share of a body whose buffered part was forwarded, and read on.
+
+        The next request may have begun to arrive by then.
+        """
+        self._release_pool(body)
         self._update_flow_control()
 
     def _can_keep_alive(self) -> bool:
--- a/tests/net/test_memory_limits.py
+++ b/tests/net/test_memory_limits.py
@@ -234,8 +234,10 @@
         client.feed(post_head("a" * 16, size + 100_000) + bytes(size))
         body = client.connection.body
         assert not body.is_replayable
+        # The rest of the body arrives, and the next request begins behind it.
+        client.feed(bytes(100_000) + post_head("b" * 16, 10))
         assert server.pooled_bytes >= MAX_POOLED_BODY_BYTES - len(server.read_buffer)
-        assert sum(map(len, body.take_parts())) == size
+        assert sum(map(len, body.take_parts())) == size + 100_000
         assert server.pooled_bytes == 0
 
     run_async(test())
