--- a/review/standins2/platform.py
+++ b/review/standins2/platform.py
@@ -285,10 +285,14 @@
 
 
 class Discovery:
-    """Discovery of one tier: the whole list, and a watch on changes."""
+    """Discovery of one tier: the whole list, and a watch on changes.
 
-    def __init__(self, record: Record) -> None:
+    `delay` is the time that it takes for an answer, beyond the wait of a watch.
+    """
+
+    def __init__(self, record: Record, delay: float = 0.0) -> None:
         self.record = record
+        self.delay = delay
         self.port = free_port()
         self.index = 1
         self.entries: dict[str, dict[str, Any]] = {}
@@ -355,6 +359,8 @@
                     answer = {"index": self.index, "snapshot": False, "endpoints": changes}
                     if since > self.index:
                         answer = self.known()
+                if self.delay:
+                    await asyncio.sleep(self.delay)
                 names = " ".join(f"{e['name']}:{e['status']}" for e in answer["endpoints"])
                 kind = "whole list" if answer["snapshot"] else "changes"
                 self.record.add(f"discovery answers {words[1]}: {kind}, index {answer['index']}, [{names}]")
