--- a/review/standins2/platform.py
+++ b/review/standins2/platform.py
@@ -361,6 +361,9 @@
                         answer = self.known()
                 if self.delay:
                     await asyncio.sleep(self.delay)
+                if writer.transport.is_closing():
+                    self.record.add(f"discovery: the caller of {words[1]} has gone")
+                    return
                 names = " ".join(f"{e['name']}:{e['status']}" for e in answer["endpoints"])
                 kind = "whole list" if answer["snapshot"] else "changes"
                 self.record.add(f"discovery answers {words[1]}: {kind}, index {answer['index']}, [{names}]")
