Requests sent at once wait as bytes and are answered in turns

With floods that stay below the limit, usual requests had no answer for seconds.

Cause: one read brings up to 64 KiB, all of it was parsed at once, each request was queued as an object of ten times its bytes, and all local answers of a read were written in one go, for each socket in turn, before a new connection was looked at.

Change: InputBuffer keeps what a connection sent as bytes, at most one read, with the time of arrival. TurnReader parses one request as it arrives; what comes behind it or behind an open request waits for a turn, of at most eight requests. A request counts from its arrival also if it waited in the socket, and is answered at once if its time is over. A client that reads no responses gets no further ones. A pipelined request has half of its class's priority weight, so that a flood yields to clients that wait for their responses. Clients that are gone while their requests wait are dropped.

--- a/service_proxy/net/dispatcher.py
+++ b/service_proxy/net/dispatcher.py
@@ -264,6 +264,10 @@
         # states.
         client_budget = min(request.time_budget, self.deadline_by_class[request.class_name])
         deadline = min(request.received_at + client_budget - margin, self.table.shutdown_deadline)
+        if request.body.is_complete and deadline <= time.monotonic():
+            # The request waited behind others of its connection. Nothing was executed.
+            writer.respond(503, (), b"out of time\n")
+            return None
         open_request = OpenRequest(self.requests_accepted, request, writer, deadline)
         if not request.body.is_complete:  # The time budget starts with the last byte of the body.
             open_request.deadline = self.table.shutdown_deadline
@@ -300,7 +304,7 @@
                 is_retry=request.is_retry,
                 affinity_key=request.affinity_key,
                 max_attempts=limits.max_attempts,
-                weight_share=limits.weight_share,
+                weight_share=limits.weight_share * request.weight_share,
             )
         )
 
--- a/service_proxy/net/downstream/connection.py
+++ b/service_proxy/net/downstream/connection.py
@@ -9,7 +9,6 @@
 
 import httptools
 
-from service_proxy.net.downstream.read_turns import ReadTurns
 from service_proxy.net.downstream.request import (
     BadRequestError,
     LocalResponse,
@@ -18,77 +17,57 @@
     RequestHandler,
     UpgradeRequest,
 )
-from service_proxy.net.downstream.request_reader import (
-    ReaderServer,
-    RequestReader,
-)
 from service_proxy.net.downstream.response_head import encode_response_head
+from service_proxy.net.downstream.turn_reader import TurnReader, TurnReaderServer
 from service_proxy.net.http_status import BAD_GATEWAY, BODILESS, OK
 from service_proxy.net.limits import LOOP_ITERATION_S
 from service_proxy.net.protocols import ResponseSource
 from service_proxy.net.request_body import RequestBody, encode_chunk
-from service_proxy.net.socket_polling import has_ended, has_input
+from service_proxy.net.socket_polling import has_ended
 
 log = logging.getLogger(__name__)
 
 NO_HEADERS: tuple[tuple[bytes, bytes], ...] = ()
 
 
-class ConnectionServer(ReaderServer, Protocol):
+class ConnectionServer(TurnReaderServer, Protocol):
     """Interface of the HTTP server that a client connection uses."""
 
     loop: asyncio.AbstractEventLoop
     handler: RequestHandler
-    read_turns: ReadTurns
     request_counter: RequestCounter | None
     rejection_headers: tuple[tuple[bytes, bytes], ...]
     request_timeout: float
     is_draining: bool
     connections: set[DownstreamConnection]
-    awaiting_request: dict[DownstreamConnection, None]
-    idle: dict[DownstreamConnection, None]
     closing: dict[DownstreamConnection, None]
 
     def add(self, connection: DownstreamConnection) -> None:
         """Register a newly accepted connection, or abort it if the connection limit is reached."""
 
 
-class DownstreamConnection(RequestReader):
+class DownstreamConnection(TurnReader):
     """Client connection that reads requests one after another and writes exactly one response to each.
 
     Attributes:
         open_request: the handler's object for the request that awaits its response.
-        current_request: the request that awaits its response, if it is well-formed and no upgrade request.
-        upgrade_pending: an upgrade request awaits its response.
         response_source: source of the streamed response; `response_chunked`: chunked coding is used.
         is_last_response: the connection closes after the current response.
-        discarding_input: further input is read and discarded, so that the client receives the response.
-        is_closing: the last response has been written, or the connection is aborted, detached or lost.
         over_limit: the connection was accepted above the server's limit; its requests are rejected.
-        awaits_read_turn: reading is paused until the connection's turn in `ReadTurns`.
         state_since: when `state_table` last changed or the timeout restarted (monotonic, s).
         last_unsent_bytes: response bytes that the client had not read at the previous linger timeout.
-        write_blocked: the write buffer is full because the client does not read.
-        read_paused: the proxy has paused reading from the client.
     """
 
     __slots__ = (
-        "awaits_read_turn",
-        "current_request",
-        "discarding_input",
-        "is_closing",
         "is_last_response",
         "keep_alive",
         "last_unsent_bytes",
         "open_request",
         "over_limit",
-        "read_paused",
         "response_chunked",
         "response_source",
         "server",
         "state_since",
-        "upgrade_pending",
-        "write_blocked",
     )
 
     server: ConnectionServer
@@ -96,21 +75,14 @@
     def __init__(self, server: ConnectionServer) -> None:
         super().__init__()
         self.server = server
-        self.upgrade_pending = False
         self.response_source: ResponseSource | None = None
         self.response_chunked = False
         self.is_last_response = False
         self.last_unsent_bytes = 0
         self.open_request: object | None = None
-        self.current_request: Request | None = None
         self.keep_alive = True
-        self.discarding_input = False
-        self.is_closing = False
         self.over_limit = False
-        self.awaits_read_turn = False
         self.state_since = 0.0
-        self.write_blocked = False
-        self.read_paused = False
 
     # asyncio.BufferedProtocol callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -126,6 +98,7 @@
         self.transport = None
         self.parser = None
         self.is_closing = True
+        self.input.clear()
         self._drop_pending_requests()
         self._drop_body()
         if self.current_request is not None:
@@ -150,50 +123,8 @@
         self.write_blocked = False
         if self.response_source is not None:
             self.response_source.resume()
-        self._update_flow_control()
-
-    def _update_flow_control(self) -> None:
-        """Pause reading while the client does not read, requests are queued or the body buffer is full.
-
-        Reading is also paused until the connection's next turn after the client has filled the read buffer.
-        """
-        if self.transport is not None and not self.is_closing:
-            # Queued requests pause reading, so a connection buffers the bodies of at most one read.
-            has_buffers_full = self.body.is_full or bool(self.pending_requests)
-            pause = self.write_blocked or self.awaits_read_turn or has_buffers_full
-            if pause and not self.read_paused:
-                self.transport.pause_reading()
-            elif self.read_paused and not pause:
-                self.transport.resume_reading()
-                if self.early_request is not None and self.state_table is not None:
-                    # The client could not send while reading was paused, so the request timeout restarts.
-                    self.server.set_state(self, self.state_table)
-            self.read_paused = pause
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Parse the bytes that were read, and dispatch the requests in them."""
-        if self.is_closing or self.discarding_input:
-            return
-        if self.upgrade_pending:
-            self._reject_early_frames()
-            return
-        try:
-            error = self._parse_input(nbytes)
-        except httptools.HttpParserUpgrade as upgrade:
-            self._start_upgrade(nbytes > upgrade.args[0])
-            return
-        if error is not None:
-            self._reject_input(error)
-        if nbytes == len(self.server.read_buffer):
-            self.awaits_read_turn = True
-            self.server.read_turns.wait(self)
-        if self.state_table is self.server.idle and not self.pending_requests:
-            self.server.set_state(self, self.server.awaiting_request)  # A further request has begun.
-        self._dispatch_next()
-
-    def on_read_turn(self) -> None:
-        """Continue reading from a client that filled the read buffer."""
-        self.awaits_read_turn = False
+        if self._can_parse:
+            self._wait_for_turn()
         self._update_flow_control()
 
     def _start_upgrade(self, has_surplus: bool) -> None:
@@ -238,6 +169,7 @@
     def _reject_input(self, error: BadRequestError) -> None:
         """Respond with `error` to a request that can't be read any further, and discard further input."""
         self.discarding_input = True
+        self.input.clear()
         early_request = self.early_request
         if early_request is None or early_request.body.is_complete:
             if self.in_message:
@@ -272,13 +204,12 @@
                 self.respond(request.status_code, NO_HEADERS, request.body)
             elif self.over_limit:
                 # Nothing was executed, because the request is rejected before it is forwarded. The connection
-                # stays open until each request of the same read has received its response.
-                self.keep_alive = self.keep_alive and bool(self.pending_requests)
+                # stays open until each request that was read has received its response.
+                self.keep_alive = self.keep_alive and bool(self.pending_requests or self.input.size)
                 headers = ((b"retry-after", b"1"), *self.server.rejection_headers)
                 self.respond(503, headers, b"too many connections\n")
             else:
                 self._start_request(request)
-        self._update_flow_control()
 
     def _start_request(self, request: Request | UpgradeRequest) -> None:
         """Pass a request to its handler, which may respond immediately."""
@@ -410,8 +341,11 @@
         self._end_request(status_code)
         if self.is_last_response:
             self.close()
-        elif self.pending_requests:
-            self.server.loop.call_soon(self._dispatch_next)
+        elif self.pending_requests or self.input.size:
+            self.server.set_state(self, self.server.awaiting_request)
+            self.input_waited = True
+            if not (self.is_parsing or self.write_blocked):
+                self._wait_for_turn()
         elif self.in_message:
             self.server.set_state(self, self.server.awaiting_request)
             self._schedule_partial_request_timeout()
@@ -446,6 +380,7 @@
         if transport is None or self.is_closing:
             return
         self.is_closing = True
+        self.input.clear()
         self._drop_pending_requests()
         self.server.set_state(self, self.server.closing)
         if not self.discarding_input:
@@ -455,17 +390,13 @@
             transport.resume_reading()
         transport.write_eof()
 
-    @property
-    def has_unread_input(self) -> bool:
-        """Return whether unread input lies in the socket, for example a complete further request."""
-        return self.transport is not None and not self.transport.is_closing() and has_input(self.transport)
-
     def close_unless_unread(self) -> None:
-        """Close the connection between two requests, unless unread input lies in the socket.
+        """Close the connection between two requests, unless input is unread.
 
-        The unread input may hold a request that the proxy accepts and has to respond to.
+        The unread input may hold a request that the proxy accepts and has to respond to. A client that does
+        not read its responses receives no further one.
         """
-        if not self.has_unread_input:
+        if self.write_blocked or not self.has_unread_input:
             self.close()
 
     def on_request_timeout(self) -> None:
@@ -473,6 +404,8 @@
         if self.read_paused and self.early_request is not None:
             # The receiver of the body is slow, not the client, so the timeout restarts.
             self.server.set_state(self, self.state_table)
+        elif self.awaits_turn:  # The proxy delays the request, not the client.
+            self.server.set_state(self, self.server.awaiting_request)
         elif self.raw_bytes or self.in_message:
             self._reject_input(BadRequestError(408, "the request did not end"))
             self._dispatch_next()
--- a/service_proxy/net/downstream/http_server.py
+++ b/service_proxy/net/downstream/http_server.py
@@ -16,7 +16,7 @@
 from service_proxy.net.socket_polling import ended_by_peer, is_readable
 from service_proxy.policy.settings_types import Idempotency
 
-READ_BUFFER_BYTES = 64 * 1024  # Bytes that are read from a connection at once.
+READ_BUFFER_BYTES = 64 * 1024  # Maximum number of bytes that are read from a connection at once.
 # Time from the accepted connection, or from a further request's first byte, to a complete head. After a head
 # that is complete within MAX_QUICK_HEAD_S (request_reader.py), the timeout restarts for the body, and
 # again for each BODY_PROGRESS_BYTES of the body.
@@ -68,7 +68,7 @@
         request_timeout: REQUEST_TIMEOUT_S, for a request that begins to arrive while another one is open.
         upgrade_handler: handler of upgrade requests; None: upgrade requests are rejected.
         read_buffer: buffer that all connections read into, one at a time.
-        read_turns: turns of the connections that fill the read buffer.
+        read_turns: turns of the connections with input that waits.
         pooled_bytes: bytes of buffered bodies, at most `pool_bytes`.
         awaiting_request: connections whose next request is not complete.
         idle: connections that have received a response and have sent no further request.
@@ -265,7 +265,9 @@
         While reading is paused, only the socket's state shows the disconnect. The client's requests are then
         not forwarded, and its slot is free for another connection.
         """
-        paused = (c for c in self.connections if c.read_paused and c.open_request is not None)
+        paused = (
+            c for c in self.connections if c.read_paused and (c.open_request is not None or c.input.size)
+        )
         connection_by_transport = {c.transport: c for c in paused if c.transport is not None}
         for transport in ended_by_peer(connection_by_transport):
             connection_by_transport[cast(asyncio.Transport, transport)].abort()
--- a/service_proxy/net/downstream/read_turns.py
+++ b/service_proxy/net/downstream/read_turns.py
@@ -1,4 +1,4 @@
-"""Turns of the connections whose clients send faster than the event loop should read from one connection."""
+"""Turns of the connections whose clients send more than the event loop should process at once."""
 
 from __future__ import annotations
 
@@ -11,14 +11,15 @@
     """Connection that waits for its next turn."""
 
     def on_read_turn(self) -> None:
-        """Read again; the connection may have been closed meanwhile."""
+        """Process buffered input and read again; the connection may have been closed meanwhile."""
 
 
 class ReadTurns:
-    """Queue of the connections that filled the read buffer, of which one reads in each loop iteration.
+    """Queue of the connections with input that waits, of which one has its turn in each loop iteration.
 
-    The event loop reads from one socket for as long as the socket has data, up to 2 MB. Parsing this takes
-    0.1 s if the data consists of tiny chunks, so a few such clients would delay all other clients by seconds.
+    The event loop reads from one socket for as long as the socket has data, up to 2 MB. Parsing and answering
+    this takes up to a second if the data consists of tiny chunks or short requests, so a few such clients
+    would delay all other clients by seconds.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -26,7 +27,7 @@
         self._waiting: deque[TurnTaker] = deque()
 
     def wait(self, connection: TurnTaker) -> None:
-        """Add a connection, which has paused reading, at the end of the queue."""
+        """Add a connection, which pauses reading, at the end of the queue."""
         if not self._waiting:
             self._loop.call_soon(self._start_turn)
         self._waiting.append(connection)
--- a/service_proxy/net/downstream/request.py
+++ b/service_proxy/net/downstream/request.py
@@ -10,6 +10,10 @@
 from service_proxy.net.protocols import ResponseSource, UpgradeNegotiation
 from service_proxy.net.request_body import RequestBody
 
+# Share of the priority weight of a pipelined request. A client that sends many requests at once would
+# otherwise take the place of as many clients that wait for their responses.
+PIPELINED_WEIGHT_SHARE = 0.5
+
 
 @dataclass(slots=True)
 class Request:
@@ -30,6 +34,8 @@
         idempotency_key: value of Idempotency-Key.
         consumed: headers that a filter of this proxy consumes; `head` doesn't contain them.
         upgrade: the negotiation of the upgrade that the request asks for; None: it asks for no upgrade.
+        is_pipelined: the client sent the request without waiting for the response to an earlier one on the
+            same connection.
     """
 
     id: bytes
@@ -45,6 +51,12 @@
     idempotency_key: bytes = b""
     consumed: tuple[tuple[bytes, bytes], ...] = ()
     upgrade: UpgradeNegotiation | None = None
+    is_pipelined: bool = False
+
+    @property
+    def weight_share(self) -> float:
+        """Return the share of the class's priority weight that this request has."""
+        return PIPELINED_WEIGHT_SHARE if self.is_pipelined else 1.0
 
 
 class ResponseWriter(Protocol):
--- a/service_proxy/net/downstream/request_reader.py
+++ b/service_proxy/net/downstream/request_reader.py
@@ -1,4 +1,4 @@
-"""Reader of requests from a client's connection, with size limits and streaming of long bodies.
+"""Parser of requests from a client's connection, with size limits and streaming of long bodies.
 
 Requests are appended to `pending_requests`. The connection dispatches them from there, one at a time.
 """
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import deque
 from collections.abc import Mapping
 from functools import partial
@@ -14,6 +13,7 @@
 
 import httptools
 
+from service_proxy.net.downstream.input_buffer import InputBuffer
 from service_proxy.net.downstream.request import (
     BadRequestError,
     LocalResponse,
@@ -77,8 +77,13 @@
         in_message: a request has begun to arrive; `head_done`: the request's head is complete.
         raw_bytes: bytes received since the last complete request, including chunk framing.
         head_size: bytes of the arriving request's head so far.
+        input: received bytes that are not parsed yet.
+        first_read: number of the read in which the arriving request began.
+        is_pipelined: the arriving request was sent before an earlier one on the connection had its response.
         next_step_bytes: body size at which the request timeout restarts.
+        parses_backlog: the bytes that are parsed now have waited behind an earlier request.
         progress_at: when the arriving request began or last made progress (monotonic, s).
+        requests_read: number of complete requests.
         early_request: the arriving request, if it was dispatched before its body was complete.
         pending_requests: queued requests, each with whether the connection may be kept after its response.
         response_due: a request awaits its response.
@@ -88,15 +93,20 @@
     __slots__ = (
         "body",
         "early_request",
+        "first_read",
         "head_done",
         "head_size",
         "headers",
         "in_message",
+        "input",
+        "is_pipelined",
         "next_step_bytes",
         "parser",
+        "parses_backlog",
         "pending_requests",
         "progress_at",
         "raw_bytes",
+        "requests_read",
         "response_due",
         "state_table",
         "target",
@@ -111,6 +121,11 @@
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = RequestBody()
+        self.input = InputBuffer()
+        self.first_read = 0
+        self.parses_backlog = False
+        self.is_pipelined = False
+        self.requests_read = 0
         self.next_step_bytes = BODY_PROGRESS_BYTES
         self.early_request: Request | None = None
         self.head_size = 0
@@ -122,21 +137,33 @@
         self.response_due = False
         self.state_table: dict[Any, None] | None = None
 
-    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 - one buffer serves all connections
-        """Return the server's read buffer."""
-        return self.server.read_buffer
+    @property
+    def _content_left(self) -> int:
+        """Return the number of bytes that the arriving body of known length still lacks."""
+        body = self.body
+        return body.length - body.received_bytes if self.head_done and body.length is not None else 0
+
+    @property
+    def _received_at(self) -> float:
+        """Return when the bytes that are parsed now were received (monotonic, s).
+
+        A request that lay whole in the socket while reading was paused counts from the earliest time at which
+        it may have arrived. A request that arrives in several reads was not whole before the last of them.
+        """
+        received = self.input
+        return received.arrived_at if self.first_read == received.read_number else received.read_at
 
-    def _parse_input(self, nbytes: int) -> BadRequestError | None:
-        """Parse bytes of the read buffer, and return the error that makes further input unreadable.
+    def _parse_input(self, data: bytes | memoryview) -> BadRequestError | None:
+        """Parse received bytes, and return the error that makes further input unreadable.
 
         Raises:
             httptools.HttpParserUpgrade: the bytes complete an upgrade request that has a handler.
         """
         if not self.raw_bytes and not self.in_message:
-            self.progress_at = time.monotonic()
-        self.raw_bytes += nbytes
+            self.progress_at = self.input.read_at
+        self.raw_bytes += len(data)
         try:
-            self.parser.feed_data(self.server.read_buffer[:nbytes])
+            self.parser.feed_data(data)
             # httptools buffers an endless header without a callback, so the raw bytes are counted here.
             if self.raw_bytes > MAX_HEAD_BYTES and not self.head_done:
                 return BadRequestError(431, "headers too large")
@@ -153,6 +180,8 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
         self.in_message = True
+        self.first_read = self.input.read_number
+        self.is_pipelined = self.parses_backlog
         self.target = b""
         self.headers = []
         self.body = RequestBody()
@@ -185,9 +214,9 @@
         validate_head(self.parser.get_http_version(), self.headers, self.server.max_body_bytes)
         lengths = [value for name, value in self.headers if name == b"content-length"]
         self.body.length = int(lengths[0]) if lengths else None
-        now = time.monotonic()
-        if now - self.progress_at < MAX_QUICK_HEAD_S:  # The body gets a full request timeout.
-            self.progress_at = now
+        read_at = self.input.read_at
+        if read_at - self.progress_at < MAX_QUICK_HEAD_S:  # The body gets a full request timeout.
+            self.progress_at = read_at
             if self.state_table is not None:
                 self.server.set_state(self, self.state_table)
         else:
@@ -213,7 +242,7 @@
         body.append(chunk)
         if body.received_bytes >= self.next_step_bytes:
             self.next_step_bytes = (body.received_bytes // BODY_PROGRESS_BYTES + 1) * BODY_PROGRESS_BYTES
-            self.progress_at = time.monotonic()
+            self.progress_at = self.input.read_at
             if self.state_table is not None:
                 server.set_state(self, self.state_table)
 
@@ -270,25 +299,28 @@
         return self.parser.should_keep_alive() and not closes_connection(self.headers)
 
     def _parse_request(self) -> Request:
-        return parse_request(
+        request = parse_request(
             self.parser.get_method(),
             self.target,
             self.headers,
             self.body,
-            time.monotonic(),
+            self._received_at,
             self.server.idempotency_by_class,
             self.server.consumed_headers,
         )
+        request.is_pipelined = self.is_pipelined
+        return request
 
     def on_message_complete(self) -> None:
         """Queue a complete request, or finish the body of a request that was dispatched early."""
         self.in_message = False
         self.head_done = False
         self.raw_bytes = 0
-        self.progress_at = time.monotonic()  # Start time of a request that follows in the same read.
+        self.requests_read += 1
+        self.progress_at = self.input.read_at  # Start time of a request that follows in the same read.
         body = self.body
         if self.early_request is not None:
-            self.early_request.received_at = time.monotonic()
+            self.early_request.received_at = self._received_at
             self.headers = []
             if self.state_table is not None:
                 self.server.set_state(self, None if self.response_due else self.state_table)
--- /dev/null
+++ b/service_proxy/net/downstream/turn_reader.py
@@ -0,0 +1,224 @@
+"""Reading side of a client connection: input is buffered, and parsed in turns with the other connections.
+
+A connection parses one request as soon as it arrives. What arrives behind this request, or behind an open
+request, stays in the buffer as bytes and waits for a turn, so that clients which send many requests at once
+delay no other client.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Any, Protocol
+
+import httptools
+
+from service_proxy.net.downstream.input_buffer import ReceivedBytes
+from service_proxy.net.downstream.read_turns import ReadTurns
+from service_proxy.net.downstream.request import BadRequestError, Request
+from service_proxy.net.downstream.request_reader import ReaderServer, RequestReader
+from service_proxy.net.socket_polling import has_input
+
+REQUEST_READ_BYTES = 16 * 1024  # Bytes of one read, unless more content of a body is expected.
+MAX_REQUESTS_PER_TURN = 8
+MAX_SLICES_PER_TURN = 256  # Slices of input that are parsed in one turn.
+
+
+class TurnReaderServer(ReaderServer, Protocol):
+    """Interface of the HTTP server that the reading side of a connection uses."""
+
+    read_turns: ReadTurns
+    awaiting_request: dict[Any, None]
+    idle: dict[Any, None]
+
+
+class TurnReader(RequestReader):
+    """Reading side of a client connection.
+
+    Attributes:
+        awaits_turn: the connection waits for its turn in `ReadTurns`.
+        current_request: the request that awaits its response, if it is well-formed and no upgrade request.
+        discarding_input: further input is read and discarded, so that the client receives the response.
+        is_closing: the last response has been written, or the connection is aborted, detached or lost.
+        input_waited: the buffered input arrived before the last response.
+        is_parsing: buffered input is being parsed.
+        read_paused: the proxy has paused reading from the client.
+        unread_since: earliest time at which bytes in the socket may have arrived (monotonic, s); 0: they have
+            not arrived before the next read.
+        upgrade_pending: an upgrade request awaits its response.
+        write_blocked: the write buffer is full because the client does not read.
+    """
+
+    __slots__ = (
+        "awaits_turn",
+        "current_request",
+        "discarding_input",
+        "input_waited",
+        "is_closing",
+        "is_parsing",
+        "last_read_filled_buffer",
+        "paused_at",
+        "read_bytes_limit",
+        "read_paused",
+        "unread_since",
+        "upgrade_pending",
+        "write_blocked",
+    )
+
+    server: TurnReaderServer
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.awaits_turn = False
+        self.current_request: Request | None = None
+        self.discarding_input = False
+        self.input_waited = False
+        self.is_closing = False
+        self.is_parsing = False
+        self.last_read_filled_buffer = False
+        self.paused_at = 0.0
+        self.read_bytes_limit = REQUEST_READ_BYTES
+        self.read_paused = False
+        self.unread_since = 0.0
+        self.upgrade_pending = False
+        self.write_blocked = False
+
+    # asyncio.BufferedProtocol callbacks
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 - one buffer serves all connections
+        """Return the part of the server's read buffer that this connection may fill at once."""
+        read_buffer = self.server.read_buffer
+        body = self.body
+        self.read_bytes_limit = REQUEST_READ_BYTES
+        if self.head_done:
+            # A chunked body is expected to grow by as much as has been received.
+            expected = body.received_bytes if body.length is None else body.length - body.received_bytes
+            self.read_bytes_limit = min(len(read_buffer), max(REQUEST_READ_BYTES, expected))
+        return read_buffer[: self.read_bytes_limit]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Buffer the bytes that were read, and parse the first request in them unless it has to wait."""
+        if self.is_closing or self.discarding_input:
+            return
+        if self.upgrade_pending:
+            self._reject_early_frames()
+            return
+        now = time.monotonic()
+        arrived_at = self.unread_since or now
+        self.unread_since = 0.0
+        self.last_read_filled_buffer = nbytes >= self.read_bytes_limit
+        if self.last_read_filled_buffer:
+            self.paused_at = arrived_at
+        self.input.append(ReceivedBytes(bytes(self.server.read_buffer[:nbytes]), now, arrived_at))
+        if self.awaits_turn:
+            self._update_flow_control()
+            return
+        if self.last_read_filled_buffer:
+            self._wait_for_turn()
+        self._parse_buffered(1)
+        if self.state_table is self.server.idle and (self.raw_bytes or self.input.size):
+            self.server.set_state(self, self.server.awaiting_request)  # A further request has begun.
+
+    # Turns
+    def _wait_for_turn(self) -> None:
+        """Wait for the connection's turn to parse its buffered input and to read on."""
+        if not self.awaits_turn:
+            self.awaits_turn = True
+            self.server.read_turns.wait(self)
+
+    def on_read_turn(self) -> None:
+        """Parse buffered input, and read from a client that filled the read buffer."""
+        self.awaits_turn = False
+        if self.is_closing:
+            return
+        self.parses_backlog = True
+        self._parse_buffered(MAX_REQUESTS_PER_TURN)
+        self.parses_backlog = False
+        if self.input_waited and not self.input.size:
+            self.input_waited = False
+            if self.in_message and not (self.response_due or self.is_closing):
+                self._schedule_partial_request_timeout()
+
+    @property
+    def _can_parse(self) -> bool:
+        """Return whether buffered input may be parsed now: no request is open that is complete."""
+        if not self.input.size or self.is_closing or self.discarding_input or self.write_blocked:
+            return False
+        if self.pending_requests:
+            return False
+        request = self.current_request
+        return not self.response_due or (request is not None and not request.body.is_complete)
+
+    def _parse_buffered(self, max_requests: int) -> None:
+        """Parse buffered input and dispatch its requests, within the limits of one turn."""
+        self.is_parsing = True
+        last_request = self.requests_read + max_requests
+        slices = 0
+        while self._can_parse:
+            if self.requests_read >= last_request or slices == MAX_SLICES_PER_TURN:
+                self._wait_for_turn()
+                break
+            slices += 1
+            self._parse_next_slice()
+            self._dispatch_next()
+        self.is_parsing = False
+        self._update_flow_control()
+
+    def _parse_next_slice(self) -> None:
+        data = self.input.take_slice(self._content_left)
+        try:
+            error = self._parse_input(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._start_upgrade(len(data) > upgrade.args[0] or self.input.size > 0)
+            return
+        if error is not None:
+            self._reject_input(error)
+
+    # Flow control
+    def _update_flow_control(self) -> None:
+        """Pause reading while the client does not read, input waits for its turn or a buffer is full."""
+        transport = self.transport
+        if transport is None or self.is_closing:
+            return
+        has_buffers_full = self.body.is_full or self.input.is_full
+        pause = self.write_blocked or self.awaits_turn or has_buffers_full
+        if pause and not self.read_paused:
+            if not self.last_read_filled_buffer:
+                self.paused_at = self.unread_since or time.monotonic()
+            transport.pause_reading()
+        elif self.read_paused and not pause:
+            # Bytes in the socket may have arrived at any time since reading was paused.
+            self.unread_since = self.paused_at if has_input(transport) else 0.0
+            self.last_read_filled_buffer = False
+            transport.resume_reading()
+            if self.early_request is not None and self.state_table is not None:
+                # The client could not send while reading was paused, so the request timeout restarts.
+                self.server.set_state(self, self.state_table)
+        self.read_paused = pause
+
+    @property
+    def has_unread_input(self) -> bool:
+        """Return whether input is not parsed yet, in the buffer or in the socket."""
+        if self.input.size:
+            return True
+        transport = self.transport
+        return transport is not None and not transport.is_closing() and has_input(transport)
+
+    # Methods of the connection
+    def _dispatch_next(self) -> None:
+        """Dispatch the next parsed request."""
+        raise NotImplementedError
+
+    def _start_upgrade(self, has_surplus: bool) -> None:
+        """Dispatch an upgrade request; `has_surplus`: further bytes directly follow the request."""
+        raise NotImplementedError
+
+    def _reject_early_frames(self) -> None:
+        """Reject an upgrade whose client sent further bytes before the 101 response."""
+        raise NotImplementedError
+
+    def _reject_input(self, error: BadRequestError) -> None:
+        """Respond with `error` to a request that can't be read any further, and discard further input."""
+        raise NotImplementedError
+
+    def _schedule_partial_request_timeout(self) -> None:
+        """Schedule the timeout of a request that began to arrive while the previous request was open."""
+        raise NotImplementedError
--- a/service_proxy/sidecar/inbound.py
+++ b/service_proxy/sidecar/inbound.py
@@ -243,7 +243,7 @@
             self.drain_deadline,
         )
         inbound = InboundRequest(request, writer, deadline)
-        priority_weight = cls.worth
+        priority_weight = cls.worth * request.weight_share
         # The callback does nothing, because only the client waits for the request.
         filtered = apply_filters(self.filters, request, lambda: None)
         if isinstance(filtered, Rejection):
--- /dev/null
+++ b/tests/net/test_client_floods.py
@@ -0,0 +1,261 @@
+"""Clients that send hundreds of requests at once: memory, turns, order and deadlines."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import time
+from collections.abc import AsyncIterator, Callable
+
+import pytest
+import uvloop
+from hypothesis import given
+from hypothesis import strategies as st
+from net_harness import TEST_TIMEOUT_S, Client, EndpointServer, get_request, proxy_under_test, run_async
+from test_memory_limits import check_peak_memory
+
+from harness.flood_clients import (
+    FORMS,
+    get_health,
+    get_stock,
+    get_unknown_class,
+    post_chunks,
+    post_small_body,
+)
+from service_proxy.net.downstream.http_server import HttpServer
+from service_proxy.net.downstream.input_buffer import (
+    MAX_READ_AHEAD_BYTES,
+    MAX_SLICE_BYTES,
+    InputBuffer,
+    ReceivedBytes,
+)
+from service_proxy.net.downstream.request import LocalResponse, Request, ResponseWriter
+from service_proxy.net.downstream.turn_reader import MAX_REQUESTS_PER_TURN
+from service_proxy.policy.settings_types import Idempotency
+
+FLOOD_CLIENTS = 24
+FLOOD_BYTES = 60_000  # Bytes of each client, which one read could take.
+USUAL_REQUESTS = 16
+# Iterations of the event loop that a usual request takes: the test sends, the server reads and responds.
+MAX_ITERATIONS_PER_REQUEST = 3
+HIGH_WATER_BYTES = 64 * 1024  # Bytes in asyncio's write buffer from which the client does not keep up.
+
+
+class CountingHandler:
+    """Handler that responds at once, or leaves requests open, and notes what it was given."""
+
+    def __init__(self, body: bytes = b"", is_holding: bool = False) -> None:
+        self.body = body
+        self.is_holding = is_holding
+        self.requests: list[Request] = []
+        self.writers: list[ResponseWriter] = []
+        self.request_started = asyncio.Event()
+
+    def start_request(self, request: Request, writer: ResponseWriter) -> object:
+        self.requests.append(request)
+        self.writers.append(writer)
+        self.request_started.set()
+        if not self.is_holding:
+            writer.respond(200, (), self.body)
+        return request
+
+    def client_disconnected(self, _open_request: object) -> None:
+        pass
+
+    async def wait_for(self, count: int) -> None:
+        """Wait until this number of requests has been started."""
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while len(self.requests) < count:
+                self.request_started.clear()
+                await self.request_started.wait()
+
+
+@contextlib.asynccontextmanager
+async def listening(handler: CountingHandler) -> AsyncIterator[tuple[HttpServer, tuple[str, int]]]:
+    """Run an HTTP server with this handler; yield it with its address."""
+    classes = {"stock": Idempotency.IDEMPOTENT, "canje": Idempotency.NOT_IDEMPOTENT}
+    pages = {b"/healthz": lambda: LocalResponse(200, b"ok\n")}
+    server = HttpServer(classes, handler, 1024, 192, pages)
+    port = await server.listen("127.0.0.1", 0)
+    yield server, ("127.0.0.1", port)
+    server.stop_listening()
+    for connection in list(server.connections):
+        connection.abort()
+
+
+def connect_and_send(address: tuple[str, int], data: bytes) -> socket.socket:
+    """Connect, and send all bytes before the event loop runs again."""
+    client = socket.create_connection(address)
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * len(data))
+    client.sendall(data)
+    client.setblocking(False)
+    return client
+
+
+def flood_of(build: Callable[[str], bytes], number: int) -> bytes:
+    """Return many requests of one client."""
+    size = len(build("0"))
+    return b"".join(build(f"{number}-{n}") for n in range(FLOOD_BYTES // size))
+
+
+def test_valid_requests_sent_at_once_keep_the_process_within_its_memory_limit() -> None:
+    """Guards against queued requests as objects, which take several times the memory of their bytes."""
+
+    async def send(client: Client, number: int) -> None:
+        client.writer.write(b"".join(get_stock(f"{number}-{n}") for n in range(900)))
+        for _ in range(3):
+            assert (await client.response()).status_code in (200, 503)
+
+    check_peak_memory(150, send)
+
+
+@pytest.mark.parametrize("form", ["valid", "unknown", "local", "small-bodies", "chunks"])
+def test_a_flood_is_answered_in_turns_between_usual_requests(form: str) -> None:
+    """Guards against usual requests without an answer, while all of a flood is answered in one go."""
+
+    async def test() -> None:
+        handler = CountingHandler()
+        async with listening(handler) as (server, address):
+            usual = socket.create_connection(address)
+            usual.setblocking(False)
+            loop = asyncio.get_running_loop()
+            flood = [connect_and_send(address, flood_of(FORMS[form], n)) for n in range(FLOOD_CLIENTS)]
+            for number in range(USUAL_REQUESTS):
+                await loop.sock_sendall(usual, get_request(f"f{number}"))
+                async with asyncio.timeout(TEST_TIMEOUT_S):
+                    assert b" 200 " in await loop.sock_recv(usual, 1000)
+            answered = sum(connection.requests_read for connection in server.connections)
+            # Each first request is answered at once, and then one client has a turn in each iteration.
+            turns = MAX_ITERATIONS_PER_REQUEST * USUAL_REQUESTS
+            assert answered <= FLOOD_CLIENTS + USUAL_REQUESTS + turns * MAX_REQUESTS_PER_TURN
+            for client in (*flood, usual):
+                client.close()
+
+    uvloop.run(test())
+
+
+def test_a_client_that_reads_no_responses_gets_no_further_ones() -> None:
+    """Guards against responses to pipelined requests that pile up in the write buffer."""
+
+    async def test() -> None:
+        handler = CountingHandler(body=bytes(10_000))
+        async with listening(handler) as (server, address):
+            client = connect_and_send(address, flood_of(get_stock, 0))
+            await handler.wait_for(10)
+            (connection,) = server.connections
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                while not connection.write_blocked:
+                    await asyncio.sleep(0)
+            started = len(handler.requests)
+            for _ in range(100):
+                await asyncio.sleep(0)
+            assert len(handler.requests) == started < flood_of(get_stock, 0).count(b"GET")
+            assert connection.unsent_bytes <= HIGH_WATER_BYTES + len(handler.body) + 1000
+            client.close()
+
+    uvloop.run(test())
+
+
+def test_a_request_that_waited_in_the_socket_counts_from_its_arrival() -> None:
+    """Guards against a deadline that begins when the proxy gets to a request, long after it was sent."""
+
+    async def test() -> None:
+        handler = CountingHandler(is_holding=True)
+        async with listening(handler) as (_, address):
+            count = 4 * MAX_READ_AHEAD_BYTES // len(get_stock("0-0"))
+            client = connect_and_send(address, b"".join(get_stock(f"0-{n}") for n in range(count)))
+            await handler.wait_for(1)
+            sent_by = time.monotonic()
+            await asyncio.sleep(0.3)  # The rest waits meanwhile, most of it unread in the socket.
+            handler.is_holding = False
+            handler.writers[0].respond(200, (), b"")
+            await handler.wait_for(count)
+            late = [request for request in handler.requests if request.received_at > sent_by]
+            # Only a request that is split by the end of a read counts from the read that completes it.
+            assert len(late) <= 4
+            client.close()
+
+    uvloop.run(test())
+
+
+def test_a_request_that_waited_longer_than_its_budget_is_answered_and_not_forwarded() -> None:
+    """Guards against work for requests that waited behind others until their clients had given up."""
+
+    async def respond_late(_request: object, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.5)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    async def test() -> None:
+        endpoint = EndpointServer(respond_late)
+        async with proxy_under_test({"s-1": endpoint}) as proxy:
+            client = await proxy.connect()
+            client.send("canje", "a" * 16, "3000m")
+            client.send("canje", "b" * 16, "200m")
+            client.send("canje", "c" * 16, "3000m")
+            replies = [await client.response() for _ in range(3)]
+            assert [reply.status_code for reply in replies] == [200, 503, 200]
+            assert replies[1].body == b"out of time\n"
+            assert endpoint.received_count == 2
+
+    run_async(test())
+
+
+BUILDERS = (get_stock, get_unknown_class, get_health, post_small_body, post_chunks)
+
+
+@given(
+    kinds=st.lists(st.sampled_from(BUILDERS), min_size=1, max_size=30),
+    cuts=st.lists(st.integers(1, 400), max_size=30),
+)
+def test_slices_are_the_input_whatever_the_reads(
+    kinds: list[Callable[[str], bytes]], cuts: list[int]
+) -> None:
+    """Guards against bytes that are lost or repeated between two slices or reads."""
+    data = b"".join(build(f"r-{n}") for n, build in enumerate(kinds))
+    buffer = InputBuffer()
+    offset = 0
+    for cut in [*cuts, len(data)]:
+        part = data[offset : offset + cut]
+        offset += len(part)
+        if part:
+            buffer.append(ReceivedBytes(part, 2.0, 1.0))
+    taken = b""
+    while buffer.size:
+        piece = buffer.take_slice(0)
+        assert 0 < len(piece) <= MAX_SLICE_BYTES
+        taken += piece
+    assert taken == data
+
+
+@pytest.mark.parametrize("step", [1, 7, 64, 1000, 100_000])
+def test_pipelined_requests_of_all_forms_get_their_responses_in_order(step: int) -> None:
+    """Guards against requests that are lost, joined or reordered between two slices or reads."""
+
+    async def test() -> None:
+        handler = CountingHandler()
+        async with listening(handler) as (_, address):
+            kinds = [BUILDERS[n % len(BUILDERS)] for n in range(40)]
+            data = b"".join(build(f"r-{n}") for n, build in enumerate(kinds))
+            reader, writer = await asyncio.open_connection(*address)
+            for offset in range(0, len(data), step):
+                writer.write(data[offset : offset + step])
+                await asyncio.sleep(0)
+            expected: dict[Callable[[str], bytes], int] = {get_unknown_class: 404}
+            for build in kinds:
+                async with asyncio.timeout(TEST_TIMEOUT_S):
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    assert int(head.split(b" ")[1]) == expected.get(build, 200)
+                    lengths = [line for line in head.split(b"\r\n") if line.startswith(b"content-length")]
+                    await reader.readexactly(int(lengths[0].partition(b":")[2]))
+            started = [n for n, build in enumerate(kinds) if build not in (get_unknown_class, get_health)]
+            assert [request.id for request in handler.requests] == [f"r-{n}".encode() for n in started]
+            bodies: dict[Callable[[str], bytes], bytes] = {
+                post_small_body: b"x" * 100,
+                post_chunks: b"ab" * 20,
+            }
+            for number, request in zip(started, handler.requests, strict=True):
+                assert b"".join(request.body.parts) == bodies.get(kinds[number], b"")
+            writer.close()
+
+    uvloop.run(test())
