A streamed response ends at its request's deadline, whoever writes it

An HTTP client waits as long, and without end if a chunk comes now and then.

Cause: a response of unknown length is streamed 50 ms after its first bytes. RequestDispatcher then takes the request from the table, which cancels the only timer of its deadline.

Change: StreamedResponse stands between the endpoint and the writer, with the request's deadline. At the deadline the rest is discarded, an HTTP client sees that its response is cut, and a message gets its outcome. A client of HTTP/1.0, whose response ends with the connection, gets a reset, since an end would look complete. A writer that needs the complete response (a message's outcome) has it buffered for as long as its size allows, so that an attempt whose response stops fails in its own time and the policy decides on a retry. A request that can't be read to its end while its response is streamed ends with that response.

--- a/service_proxy/net/attempt_start.py
+++ b/service_proxy/net/attempt_start.py
@@ -123,4 +123,5 @@
         request_body=None if is_joined else body,
         time_left=start.time_left,
         short_body=body.parts if is_joined else (),
+        buffers_response=start.open_request.writer.needs_complete_response,
     )
--- a/service_proxy/net/dispatcher.py
+++ b/service_proxy/net/dispatcher.py
@@ -414,8 +414,7 @@
             self.table.respond(open_request, 200, headers, attempt.response_body)
         else:
             # A streamed response needs no more decisions of the policy, so the request leaves the table.
-            self.table.finish(open_request, True)
-            open_request.writer.stream(headers, attempt.response_length, attempt.response_source)
+            self.table.stream(open_request, headers, attempt.response_length, attempt.response_source)
 
     def _on_upgrade(
         self, open_request: OpenRequest, attempt_number: int, endpoint_id: int, attempt: UpgradeAttempt
--- a/service_proxy/net/downstream/connection.py
+++ b/service_proxy/net/downstream/connection.py
@@ -19,11 +19,11 @@
 )
 from service_proxy.net.downstream.response_head import encode_response_head
 from service_proxy.net.downstream.turn_reader import TurnReader, TurnReaderServer
-from service_proxy.net.http_status import BAD_GATEWAY, BODILESS, OK
+from service_proxy.net.http_status import BAD_GATEWAY, BODILESS, GATEWAY_TIMEOUT, OK
 from service_proxy.net.limits import LOOP_ITERATION_S
 from service_proxy.net.protocols import ResponseSource
 from service_proxy.net.request_body import RequestBody, encode_chunk
-from service_proxy.net.socket_polling import has_ended
+from service_proxy.net.socket_polling import has_ended, reset_on_close
 
 log = logging.getLogger(__name__)
 
@@ -52,6 +52,7 @@
     Attributes:
         open_request: the handler's object for the request that awaits its response.
         response_source: source of the streamed response; `response_chunked`: chunked coding is used.
+        response_ends_at_close: the end of the connection ends the streamed response.
         is_last_response: the connection closes after the current response.
         over_limit: the connection was accepted above the server's limit; its requests are rejected.
         state_since: when `state_table` last changed or the timeout restarted (monotonic, s).
@@ -65,6 +66,7 @@
         "open_request",
         "over_limit",
         "response_chunked",
+        "response_ends_at_close",
         "response_source",
         "server",
         "state_since",
@@ -77,6 +79,7 @@
         self.server = server
         self.response_source: ResponseSource | None = None
         self.response_chunked = False
+        self.response_ends_at_close = False
         self.is_last_response = False
         self.last_unsent_bytes = 0
         self.open_request: object | None = None
@@ -183,6 +186,10 @@
             self._abandon_open_request()
             response = error.response()
             self.respond(response.status_code, NO_HEADERS, response.body)
+        elif self.response_source is not None:
+            # No deadline applies to a streamed response whose request never ends.
+            self.response_source.discard()
+            self.fail()
 
     def _abandon_open_request(self) -> None:
         """Notify the handler that the client no longer waits for the open request."""
@@ -228,6 +235,11 @@
             self.open_request = open_request
 
     # net.downstream.request.ResponseWriter methods
+    @property
+    def needs_complete_response(self) -> bool:
+        """Return False: a response is forwarded as it arrives."""
+        return False
+
     def respond(self, status_code: int, headers: Any, body: bytes) -> None:
         """Write the one response to the open request.
 
@@ -286,11 +298,11 @@
         if transport is None:
             return
         # HTTP/1.0 has no chunked transfer coding.
-        ends_at_close = length is None and self.parser.get_http_version() == "1.0"
-        if ends_at_close:
+        self.response_ends_at_close = length is None and self.parser.get_http_version() == "1.0"
+        if self.response_ends_at_close:
             self.keep_alive = False
         self._decide_last_response()
-        self.response_chunked = length is None and not ends_at_close
+        self.response_chunked = length is None and not self.response_ends_at_close
         self.response_source = source
         source.stream_to(self)
         if self.write_blocked:
@@ -318,10 +330,12 @@
             self.transport.write(b"0\r\n\r\n")
         self._response_ended(OK)
 
-    def fail(self) -> None:
+    def fail(self, is_overdue: bool = False) -> None:
         """Abort the connection, so that the client detects that a streamed response is incomplete."""
         self.response_source = None
-        self._end_request(BAD_GATEWAY)
+        self._end_request(GATEWAY_TIMEOUT if is_overdue else BAD_GATEWAY)
+        if self.response_ends_at_close and self.transport is not None:
+            reset_on_close(self.transport)
         self.abort()
 
     def _end_request(self, status_code: int) -> None:
--- a/service_proxy/net/downstream/request.py
+++ b/service_proxy/net/downstream/request.py
@@ -62,6 +62,14 @@
 class ResponseWriter(Protocol):
     """Writer of a request's one response, either complete or streamed."""
 
+    @property
+    def needs_complete_response(self) -> bool:
+        """Return whether nothing can be written before the response is complete.
+
+        A response is then buffered for as long as its size allows, so that an attempt whose response stops in
+        the middle fails and may be retried.
+        """
+
     def respond(self, status_code: int, headers: Any, body: bytes) -> None:
         """Write a complete response, or raise RuntimeError if the request already has a response."""
 
--- a/service_proxy/net/open_request.py
+++ b/service_proxy/net/open_request.py
@@ -8,6 +8,7 @@
 
 from service_proxy.net.downstream.request import Request, ResponseWriter
 from service_proxy.net.request_filters import RequestFilterState
+from service_proxy.net.streamed_response import StreamedResponse
 from service_proxy.net.upstream import UpstreamAttempt
 
 NO_FILTER_STATES: list[RequestFilterState] = []  # Shared list for requests without filter states.
@@ -31,6 +32,7 @@
         deadline: Time by which the request is answered, whatever the policy decides (monotonic, s).
         maybe_executed: True if an endpoint may have executed an attempt.
         attempt: The attempt in flight.
+        streamed_response: The response, if it is streamed; the request is not open any more.
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         "maybe_executed",
         "request",
         "request_id",
+        "streamed_response",
         "writer",
     )
 
@@ -56,6 +59,7 @@
         self.maybe_executed = False
         self.attempt: UpstreamAttempt | None = None
         self.deadline_timer: asyncio.TimerHandle | None = None
+        self.streamed_response: StreamedResponse | None = None
         self.filter_states: list[RequestFilterState] = NO_FILTER_STATES
 
     def limit_by_filters(self, filter_states: list[RequestFilterState]) -> FilterLimits:
--- a/service_proxy/net/open_request_table.py
+++ b/service_proxy/net/open_request_table.py
@@ -14,6 +14,8 @@
 import service_proxy as api
 from service_proxy.net.limits import LOOP_ITERATION_S, LOOP_STALL_S
 from service_proxy.net.open_request import OpenRequest
+from service_proxy.net.protocols import ResponseSource
+from service_proxy.net.streamed_response import StreamedResponse
 from service_proxy.net.upstream import UpstreamAttempt
 
 MIN_DEADLINE_MARGIN_S = 0.02  # Minimum margin between the response and the client's deadline.
@@ -66,13 +68,16 @@
 
     def on_body_complete(self, open_request: OpenRequest) -> None:
         """Start the time budget of a streamed request, because the last byte of its body was received."""
-        if not open_request.is_open:
+        if not open_request.is_open and open_request.streamed_response is None:
             return
         request = open_request.request
         budget = min(request.time_budget, self.deadline_by_class.get(request.class_name, request.time_budget))
         open_request.deadline = min(
             open_request.deadline, request.received_at + budget - MIN_DEADLINE_MARGIN_S
         )
+        if open_request.streamed_response is not None:
+            open_request.streamed_response.limit_deadline(open_request.deadline)
+            return
         self.start_deadline_timer(open_request)
         if open_request.attempt is not None:
             open_request.attempt.extend_deadline(open_request.deadline)
@@ -135,6 +140,15 @@
         self.finish(open_request, True)
         open_request.writer.respond(status_code, headers, body)
 
+    def stream(
+        self, open_request: OpenRequest, headers: Any, length: int | None, source: ResponseSource
+    ) -> None:
+        """Stream the final response after removing the request; the request's deadline applies to its end."""
+        response = StreamedResponse(source, open_request.deadline)
+        open_request.streamed_response = response
+        self.finish(open_request, True)
+        open_request.writer.stream(headers, length, response)
+
     def finish(self, open_request: OpenRequest, was_answered: bool) -> None:
         """Remove a request from the table."""
         open_request.is_open = False
--- a/service_proxy/net/protocols.py
+++ b/service_proxy/net/protocols.py
@@ -17,8 +17,8 @@
     def finish(self) -> None:
         """Record that the body is complete."""
 
-    def fail(self) -> None:
-        """Record that the body will never be complete."""
+    def fail(self, is_overdue: bool = False) -> None:
+        """Record that the body will never be complete; `is_overdue`: because the deadline has passed."""
 
 
 class ResponseSource(Protocol):
--- a/service_proxy/net/socket_polling.py
+++ b/service_proxy/net/socket_polling.py
@@ -1,9 +1,14 @@
-"""Queries with poll(2) for socket data that the event loop has not read yet; no event is consumed."""
+"""State of the sockets of transports.
+
+Queries with poll(2) find data that the event loop has not read yet; no event is consumed.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import select
+import socket
+import struct
 from collections.abc import Iterable
 
 
@@ -28,6 +33,13 @@
     return bool(poll.poll(0))
 
 
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Let the close of the transport reset the connection (socket(7), SO_LINGER with timeout 0)."""
+    transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+
+
 def ended_by_peer(transports: Iterable[asyncio.BaseTransport]) -> list[asyncio.BaseTransport]:
     """Return the transports whose peer has closed its sending side, even if unread bytes precede the end."""
     poll = select.poll()
--- a/service_proxy/net/upstream/attempt.py
+++ b/service_proxy/net/upstream/attempt.py
@@ -84,6 +84,8 @@
         request_body: Body that is written after `request_head`, unless `request_head` includes the body.
         time_left: Returns the time left that is sent to the endpoint (s); None if no time is sent.
         short_body: Parts of a short body, which are written after the X-Budget line.
+        buffers_response: Whether the response is buffered for as long as its size allows. Otherwise a
+            response of unknown length is streamed after a short time.
 
     Attributes:
         sent: Whether the last byte of the request was sent to the endpoint. The request may have been
@@ -93,6 +95,7 @@
     """
 
     __slots__ = (
+        "buffers_response",
         "can_start",
         "connection",
         "deadline",
@@ -127,8 +130,10 @@
         request_body: RequestBody | None = None,
         time_left: Callable[[], float] | None = None,
         short_body: Sequence[bytes] = (),
+        buffers_response: bool = False,
     ) -> None:
         self.pool = pool
+        self.buffers_response = buffers_response
         self.request_head = request_head
         self.serves_request = serves_request
         self.request_body = request_body
--- a/service_proxy/net/upstream/connection.py
+++ b/service_proxy/net/upstream/connection.py
@@ -235,7 +235,9 @@
     def _start_buffering_timer(self) -> None:
         """Start the timer that ends the buffering of a 200 response of unknown length."""
         attempt = self.attempt
-        if attempt is not None and attempt.serves_request and self.parser.get_status_code() == OK:
+        if attempt is None or attempt.buffers_response or not attempt.serves_request:
+            return
+        if self.parser.get_status_code() == OK:
             deadline = self.pool.last_received_at + BUFFERING_TIMEOUT_S
             self.buffering_timer = self.pool.cluster.loop.call_later(
                 BUFFERING_TIMEOUT_S, self._on_buffering_timeout, deadline
--- a/service_proxy/websocket/message_session.py
+++ b/service_proxy/websocket/message_session.py
@@ -12,6 +12,7 @@
 from service_proxy.net.downstream import BadRequestError, Request, parse_request
 from service_proxy.net.http_status import (
     BAD_GATEWAY,
+    GATEWAY_TIMEOUT,
     INTERNAL_SERVER_ERROR,
     NOT_FOUND,
     OK,
@@ -65,13 +66,18 @@
         self.parts: list[bytes] = []
         self.size = 0
 
+    @property
+    def needs_complete_response(self) -> bool:
+        """Return True: an outcome carries either the whole body or no body."""
+        return True
+
     def respond(self, code: int, headers: Any, body: bytes) -> None:
         """Settle the message with a complete response."""
         retry_after = next((float(value) for name, value in headers if name == b"retry-after"), 0.0)
         self.sessions.settle(self.session, self.message_id, code, body, retry_after)
 
     def stream(self, _headers: Any, length: int | None, source: ResponseSource) -> None:
-        """Collect a streamed response, because an outcome carries either the whole body or no body."""
+        """Collect a response that is too long to be buffered by the attempt, up to an outcome's size."""
         self.source = source
         source.stream_to(self)
         if length is not None and length > MAX_OUTCOME_BYTES:
@@ -97,10 +103,14 @@
             self.source = None
             self.sessions.settle(self.session, self.message_id, OK, b"".join(self.parts))
 
-    def fail(self) -> None:
-        """Settle the message as failed because the response broke off."""
-        if self.source is not None:
-            self.source = None
+    def fail(self, is_overdue: bool = False) -> None:
+        """Settle the message as failed because the response broke off, or was not complete in time."""
+        if self.source is None:
+            return
+        self.source = None
+        if is_overdue:
+            self.sessions.settle(self.session, self.message_id, GATEWAY_TIMEOUT, b"out of time\n")
+        else:
             self.sessions.settle(self.session, self.message_id, BAD_GATEWAY, b"the answer broke off\n")
 
     def _fail_as_too_long(self) -> None:
--- a/service_proxy/websocket/tunnel.py
+++ b/service_proxy/websocket/tunnel.py
@@ -117,6 +117,11 @@
 
     # net.downstream.ResponseWriter
 
+    @property
+    def needs_complete_response(self) -> bool:
+        """Return False: the client receives nothing of a response to its handshake."""
+        return False
+
     def respond(self, code: int, headers: Any, body: bytes) -> None:
         """Reject the client's handshake because no endpoint has accepted the handshake.
 
--- a/tests/sidecar/inbound_harness.py
+++ b/tests/sidecar/inbound_harness.py
@@ -157,6 +157,8 @@
 class RecordingResponseWriter:
     """Response writer that records status codes."""
 
+    needs_complete_response = False
+
     def __init__(self) -> None:
         self.codes: list[int] = []
 
