A flood that holds all connections makes room for usual clients

Cause: with 64 MB memory for 264 connections is set aside, 233 of them served, less than the third of 1,024 descriptors that clients may hold. A connection with a flood is never evicted, since its requests are owed answers, so new connections are rejected, and then aborted.

Change: where all served connections are in use, the one that gives way is a connection whose client has sent requests behind an open one; its further requests are rejected. A connection whose requests are rejected holds no body and reads in steps of 4 KiB, so four times as many fit into the same memory.

--- a/service_proxy/net/downstream/connection.py
+++ b/service_proxy/net/downstream/connection.py
@@ -54,7 +54,6 @@
         response_source: source of the streamed response; `response_chunked`: chunked coding is used.
         response_ends_at_close: the end of the connection ends the streamed response.
         is_last_response: the connection closes after the current response.
-        over_limit: the connection was accepted above the server's limit; its requests are rejected.
         state_since: when `state_table` last changed or the timeout restarted (monotonic, s).
         last_unsent_bytes: response bytes that the client had not read at the previous linger timeout.
     """
@@ -64,7 +63,6 @@
         "keep_alive",
         "last_unsent_bytes",
         "open_request",
-        "over_limit",
         "response_chunked",
         "response_ends_at_close",
         "response_source",
@@ -84,7 +82,6 @@
         self.last_unsent_bytes = 0
         self.open_request: object | None = None
         self.keep_alive = True
-        self.over_limit = False
         self.state_since = 0.0
 
     # asyncio.BufferedProtocol callbacks
@@ -212,7 +209,7 @@
             elif self.over_limit:
                 # Nothing was executed, because the request is rejected before it is forwarded. The connection
                 # stays open until each request that was read has received its response.
-                self.keep_alive = self.keep_alive and bool(self.pending_requests or self.input.size)
+                self.keep_alive = self.keep_alive and (bool(self.pending_requests) or self.has_unread_input)
                 headers = ((b"retry-after", b"1"), *self.server.rejection_headers)
                 self.respond(503, headers, b"too many connections\n")
             else:
--- a/service_proxy/net/downstream/http_server.py
+++ b/service_proxy/net/downstream/http_server.py
@@ -41,6 +41,8 @@
 MIN_CONNECTIONS = 8
 BASE_MEMORY_MB = 20  # Memory use of the process before it serves requests.
 CONNECTION_MEMORY_MB = 0.125  # Memory use limit of a connection: a request with its copy, and a response.
+# Memory use limit of a connection whose requests are rejected: a head, and the input that waits.
+REJECTED_CONNECTION_MEMORY_MB = 0.03
 # Share of the memory beyond BASE_MEMORY_MB for buffered bodies longer than MAX_BUFFERED_BODY_BYTES.
 BODY_POOL_SHARE = 0.25
 
@@ -128,26 +130,37 @@
         has_pool = self.max_body_bytes > MAX_BUFFERED_BODY_BYTES
         self.pool_bytes = int(free_memory_mb * BODY_POOL_SHARE * 1e6) if has_pool else 0
         connections_by_memory = int((free_memory_mb - self.pool_bytes / 1e6) / CONNECTION_MEMORY_MB)
-        self.max_connections = max(
-            MIN_CONNECTIONS, min(descriptors - other_descriptors, connections_by_memory)
+        connections_by_descriptors = max(MIN_CONNECTIONS, descriptors - other_descriptors)
+        connections = max(MIN_CONNECTIONS, min(connections_by_descriptors, connections_by_memory))
+        overflow = int(connections * OVERFLOW_SHARE)
+        self.max_served_connections = connections - overflow
+        # Where the memory is the limit, more connections than served ones fit into the share of the overflow.
+        overflow_by_memory = int(overflow * CONNECTION_MEMORY_MB / REJECTED_CONNECTION_MEMORY_MB)
+        self.max_connections = min(
+            connections_by_descriptors, self.max_served_connections + overflow_by_memory
         )
-        self.max_served_connections = self.max_connections - int(self.max_connections * OVERFLOW_SHARE)
 
     def add(self, connection: DownstreamConnection) -> None:
         """Register a connection that has just been accepted.
 
         Beyond the limit of served connections, an unused connection is closed to make room. If no connection
-        can be closed, the new connection's requests are rejected. Beyond the limit of all connections, the
-        new connection is aborted.
+        can be closed, the further requests of a client that has sent several at once are rejected, or those
+        of the new connection if there is no such client. Beyond the limit of all connections, the new
+        connection is aborted.
         """
         self.connections.add(connection)
         if len(self.connections) > self.max_served_connections and not self._evict_one():
             if len(self.connections) > self.max_connections:
                 connection.abort()
                 return
-            connection.over_limit = True
+            self._pipelining_connection(connection).over_limit = True
         self.set_state(connection, self.awaiting_request)
 
+    def _pipelining_connection(self, default: DownstreamConnection) -> DownstreamConnection:
+        """Return a served connection on which requests wait behind another one, or the default."""
+        pipelining = (c for c in self.connections if c.input.size and not (c.over_limit or c.in_message))
+        return next(pipelining, default)
+
     def _evict_one(self) -> bool:
         now = time.monotonic()
         drained = next((connection for connection in self.closing if not connection.unsent_bytes), None)
--- a/service_proxy/net/downstream/request_reader.py
+++ b/service_proxy/net/downstream/request_reader.py
@@ -79,6 +79,7 @@
         head_size: bytes of the arriving request's head so far.
         input: received bytes that are not parsed yet.
         first_read: number of the read in which the arriving request began.
+        over_limit: the connection exceeds the server's limit; its further requests are rejected.
         is_pipelined: the arriving request was sent before an earlier one on the connection had its response.
         next_step_bytes: body size at which the request timeout restarts.
         parses_backlog: the bytes that are parsed now have waited behind an earlier request.
@@ -101,6 +102,7 @@
         "input",
         "is_pipelined",
         "next_step_bytes",
+        "over_limit",
         "parser",
         "parses_backlog",
         "pending_requests",
@@ -123,6 +125,7 @@
         self.body = RequestBody()
         self.input = InputBuffer()
         self.first_read = 0
+        self.over_limit = False
         self.parses_backlog = False
         self.is_pipelined = False
         self.requests_read = 0
@@ -237,7 +240,11 @@
         size = body.received_bytes + len(chunk)
         if size > server.max_body_bytes:
             raise BadRequestError(413, "body too large")
-        if body.is_replayable and size > MAX_BUFFERED_BODY_BYTES and not self._reserve_pool(size):
+        if self.over_limit and size <= MAX_BUFFERED_BODY_BYTES:
+            body.received_bytes = size  # The request is rejected, so its content is not needed.
+            return
+        is_long = body.is_replayable and size > MAX_BUFFERED_BODY_BYTES
+        if is_long and (self.over_limit or not self._reserve_pool(size)):
             self._dispatch_early()
         body.append(chunk)
         if body.received_bytes >= self.next_step_bytes:
--- a/service_proxy/net/downstream/turn_reader.py
+++ b/service_proxy/net/downstream/turn_reader.py
@@ -19,6 +19,7 @@
 from service_proxy.net.socket_polling import has_input
 
 REQUEST_READ_BYTES = 16 * 1024  # Bytes of one read, unless more content of a body is expected.
+REJECTED_READ_BYTES = 4 * 1024  # The same for a connection whose requests are rejected.
 MAX_REQUESTS_PER_TURN = 8
 MAX_SLICES_PER_TURN = 256  # Slices of input that are parsed in one turn.
 
@@ -87,8 +88,8 @@
         """Return the part of the server's read buffer that this connection may fill at once."""
         read_buffer = self.server.read_buffer
         body = self.body
-        self.read_bytes_limit = REQUEST_READ_BYTES
-        if self.head_done:
+        self.read_bytes_limit = REJECTED_READ_BYTES if self.over_limit else REQUEST_READ_BYTES
+        if self.head_done and not self.over_limit:
             # A chunked body is expected to grow by as much as has been received.
             expected = body.received_bytes if body.length is None else body.length - body.received_bytes
             self.read_bytes_limit = min(len(read_buffer), max(REQUEST_READ_BYTES, expected))
--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -12,6 +12,7 @@
 import uvloop
 from hypothesis import given
 from hypothesis import strategies as st
+from long_messages import post_head
 from net_harness import TEST_TIMEOUT_S, Client, EndpointServer, get_request, proxy_under_test, run_async
 from test_memory_limits import check_peak_memory
 
@@ -23,7 +24,12 @@
     post_chunks,
     post_small_body,
 )
-from service_proxy.net.downstream.http_server import HttpServer
+from service_proxy.net.downstream.http_server import (
+    BASE_MEMORY_MB,
+    CONNECTION_MEMORY_MB,
+    REJECTED_CONNECTION_MEMORY_MB,
+    HttpServer,
+)
 from service_proxy.net.downstream.input_buffer import (
     MAX_READ_AHEAD_BYTES,
     MAX_SLICE_BYTES,
@@ -31,7 +37,8 @@
     ReceivedBytes,
 )
 from service_proxy.net.downstream.request import LocalResponse, Request, ResponseWriter
-from service_proxy.net.downstream.turn_reader import MAX_REQUESTS_PER_TURN
+from service_proxy.net.downstream.turn_reader import MAX_REQUESTS_PER_TURN, REJECTED_READ_BYTES
+from service_proxy.net.limits import MAX_MESSAGE_BYTES
 from service_proxy.policy.settings_types import Idempotency
 
 FLOOD_CLIENTS = 24
@@ -76,7 +83,7 @@
     """Run an HTTP server with this handler; yield it with its address."""
     classes = {"stock": Idempotency.IDEMPOTENT, "canje": Idempotency.NOT_IDEMPOTENT}
     pages = {b"/healthz": lambda: LocalResponse(200, b"ok\n")}
-    server = HttpServer(classes, handler, 1024, 192, pages)
+    server = HttpServer(classes, handler, 1024, 192, pages, max_body_bytes=MAX_MESSAGE_BYTES)
     port = await server.listen("127.0.0.1", 0)
     yield server, ("127.0.0.1", port)
     server.stop_listening()
@@ -201,6 +208,77 @@
     run_async(test())
 
 
+def test_a_flood_that_fills_the_served_connections_makes_room_for_a_usual_client() -> None:
+    """Guards against usual clients that are rejected or aborted, while floods hold all connections."""
+
+    async def test() -> None:
+        handler = CountingHandler(is_holding=True)
+        async with listening(handler) as (server, address):
+            server.max_served_connections = 3
+            server.max_connections = 8
+            flood = [connect_and_send(address, flood_of(get_stock, n)[:3000]) for n in range(3)]
+            await handler.wait_for(3)
+            usual = connect_and_send(address, get_request("f0"))
+            await handler.wait_for(4)
+            assert handler.requests[-1].id.endswith(b"f0")
+            assert sum(connection.over_limit for connection in server.connections) == 1
+            (rejected,) = [n for n, c in enumerate(handler.writers) if getattr(c, "over_limit", False)]
+            handler.writers[rejected].respond(200, (), b"")
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                data = b""
+                while b" 503 " not in data:
+                    data += await asyncio.get_running_loop().sock_recv(flood[rejected], 100_000)
+            for client in (*flood, usual):
+                client.close()
+
+    uvloop.run(test())
+
+
+@pytest.mark.parametrize("memory_mb", [48, 64, 96, 192])
+def test_clients_with_a_third_of_the_descriptors_find_a_connection(memory_mb: float) -> None:
+    """Guards against connections that are aborted for memory that rejected requests do not need."""
+
+    async def test() -> None:
+        server = HttpServer({}, CountingHandler(), 1024, memory_mb, {}, max_body_bytes=MAX_MESSAGE_BYTES)
+        served = server.max_served_connections
+        rejected = server.max_connections - served
+        free_mb = memory_mb - BASE_MEMORY_MB
+        used_mb = served * CONNECTION_MEMORY_MB + rejected * REJECTED_CONNECTION_MEMORY_MB
+        assert used_mb + server.pool_bytes / 1e6 <= free_mb
+        if memory_mb >= 64:
+            assert server.max_connections >= 1024 / 3
+
+    uvloop.run(test())
+
+
+@pytest.mark.parametrize("size", [60_000, 1_000_000])
+def test_a_rejected_connection_holds_no_body(size: int) -> None:
+    """Guards against the memory of bodies whose requests are rejected anyway."""
+
+    async def test() -> None:
+        handler = CountingHandler()
+        async with listening(handler) as (server, address):
+            server.max_served_connections = 0
+            client = connect_and_send(address, post_head("a" * 16, size))
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                while not server.connections:
+                    await asyncio.sleep(0)
+            (connection,) = server.connections
+            await asyncio.get_running_loop().sock_sendall(client, bytes(size - 1))
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                while connection.body.received_bytes < size - 1 and not connection.discarding_input:
+                    await asyncio.sleep(0)
+            held = connection.body.content.size + connection.input.size
+            assert held <= 2 * REJECTED_READ_BYTES and server.pooled_bytes == 0
+            await asyncio.get_running_loop().sock_sendall(client, b"x")
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                assert b" 503 " in await asyncio.get_running_loop().sock_recv(client, 1000)
+            assert not handler.requests
+            client.close()
+
+    uvloop.run(test())
+
+
 BUILDERS = (get_stock, get_unknown_class, get_health, post_small_body, post_chunks)
 
 
