A restored keyed request is confined to the zone that drops its repeat

Cause: the filter acted on the permission "never" alone; the policy did not learn the group or the time. The record named the proxy's zone, not the endpoint's, and allowed a repeat for the deadline and the window.

Change: RequestArrived.earlier_execution tells the policy the zone and how long it remembers the key. The retry guard allows no attempt elsewhere or later and no rejection; a request that fits no endpoint fails at once. Records without the field allow no retry.

Changed: calls get the endpoint id; the record of test_request_that_may_have_run... names the endpoint's zone, without which it is never retried now.

--- a/service_proxy/deadlines/inbound.py
+++ b/service_proxy/deadlines/inbound.py
@@ -25,7 +25,7 @@
 from service_proxy.net.downstream import Request
 from service_proxy.net.request_filters import HeaderFields, Rejection
 from service_proxy.net.upstream import UpstreamAttempt
-from service_proxy.policy.events import AttemptStatus
+from service_proxy.policy.events import AttemptStatus, EarlierExecution
 from service_proxy.policy.settings_types import RequestClass
 
 log = logging.getLogger(__name__)
@@ -88,6 +88,7 @@
     """State (net.request_filters.RequestFilterState) of a request to the application."""
 
     max_attempts = 0
+    earlier_execution: EarlierExecution | None = None
     cancels_on_disconnect = True
 
     def __init__(
@@ -107,7 +108,7 @@
         self.weight_share = filter.weight_share(budget, request_class)
         self.correlated: CorrelatedRequest | None = None
 
-    def on_attempt_start(self, _timeout: float) -> bytes:
+    def on_attempt_start(self, _timeout: float, _endpoint_id: int) -> bytes:
         """Return the header line that names the request to the application."""
         reference = secrets.token_hex(IDENTIFIER_BYTES)
         self.correlated = self.filter.propagation.correlation.add(
--- a/service_proxy/deadlines/outbound.py
+++ b/service_proxy/deadlines/outbound.py
@@ -20,7 +20,7 @@
 from service_proxy.net.downstream import Request
 from service_proxy.net.request_filters import HeaderFields, Rejection
 from service_proxy.net.upstream import UpstreamAttempt
-from service_proxy.policy.events import NEVER_EXECUTED, AttemptStatus
+from service_proxy.policy.events import NEVER_EXECUTED, AttemptStatus, EarlierExecution
 from service_proxy.policy.settings_types import RequestClass
 from service_proxy.policy.settings_types import Settings as ProxySettings
 
@@ -119,6 +119,7 @@
     """State (net.request_filters.RequestFilterState) of a call towards a tier, with the call's budget."""
 
     cancels_on_disconnect = True
+    earlier_execution: EarlierExecution | None = None
 
     def __init__(
         self,
@@ -143,7 +144,7 @@
         self.started_attempts = 0
         self.grant: AttemptGrant | None = None
 
-    def on_attempt_start(self, timeout: float) -> bytes | None:
+    def on_attempt_start(self, timeout: float, _endpoint_id: int) -> bytes | None:
         """Return the header line for an attempt that is sent now, or None if no attempt is left."""
         now = time.monotonic()
         budget = self.budget
--- a/service_proxy/net/dispatcher.py
+++ b/service_proxy/net/dispatcher.py
@@ -305,6 +305,7 @@
                 affinity_key=request.affinity_key,
                 max_attempts=limits.max_attempts,
                 weight_share=limits.weight_share * request.weight_share,
+                earlier_execution=limits.earlier_execution,
             )
         )
 
@@ -334,7 +335,7 @@
             self._attempt_not_sent(open_request, attempt_number, endpoint_id)
             return
         start = AttemptStart(self, open_request, attempt_number, action, pool)
-        extra_headers = self._attempt_headers(open_request, start.timeout)
+        extra_headers = self._attempt_headers(open_request, start.timeout, endpoint_id)
         if extra_headers is None:  # A filter forbids the attempt, for example because no time is left.
             self._attempt_not_sent(open_request, attempt_number, endpoint_id)
             return
@@ -354,14 +355,14 @@
         )
 
     @staticmethod
-    def _attempt_headers(open_request: OpenRequest, timeout: float) -> bytes | None:
+    def _attempt_headers(open_request: OpenRequest, timeout: float, endpoint_id: int) -> bytes | None:
         """Return the header lines that filters and the upgrade add to an attempt.
 
         Return None if a filter forbids the attempt.
         """
         extra_headers = b""
         for state in open_request.filter_states:
-            header_lines = state.on_attempt_start(timeout)
+            header_lines = state.on_attempt_start(timeout, endpoint_id)
             if header_lines is None:
                 return None
             extra_headers += header_lines
--- a/service_proxy/net/open_request.py
+++ b/service_proxy/net/open_request.py
@@ -10,6 +10,7 @@
 from service_proxy.net.request_filters import RequestFilterState
 from service_proxy.net.streamed_response import StreamedResponse
 from service_proxy.net.upstream import UpstreamAttempt
+from service_proxy.policy.events import EarlierExecution
 
 NO_FILTER_STATES: list[RequestFilterState] = []  # Shared list for requests without filter states.
 
@@ -19,6 +20,7 @@
 
     max_attempts: int = 0  # 0: the limit of the request class applies.
     weight_share: float = 1.0
+    earlier_execution: EarlierExecution | None = None  # Confines all attempts.
 
 
 NO_FILTER_LIMITS = FilterLimits()
@@ -69,4 +71,5 @@
             self.deadline = min(self.deadline, state.deadline)
         attempts = [state.max_attempts for state in filter_states if state.max_attempts]
         weight_share = math.prod(state.weight_share for state in filter_states)
-        return FilterLimits(min(attempts, default=0), weight_share)
+        earlier = (state.earlier_execution for state in filter_states if state.earlier_execution is not None)
+        return FilterLimits(min(attempts, default=0), weight_share, next(earlier, None))
--- a/service_proxy/net/request_filters.py
+++ b/service_proxy/net/request_filters.py
@@ -13,7 +13,7 @@
 
 from service_proxy.net.downstream.request import Request
 from service_proxy.net.upstream import UpstreamAttempt
-from service_proxy.policy.events import AttemptStatus
+from service_proxy.policy.events import AttemptStatus, EarlierExecution
 from service_proxy.policy.settings_types import Settings
 
 HeaderFields = tuple[tuple[bytes, bytes], ...]
@@ -35,8 +35,10 @@
     max_attempts: int  # Maximum number of attempts; 0: the limit of the request class applies.
     weight_share: float  # Share of the request class's priority weight.
     cancels_on_disconnect: bool  # True if an attempt is cancelled when its client disconnects.
+    # Execution of the request that may have taken place before its arrival; None: there is none.
+    earlier_execution: EarlierExecution | None
 
-    def on_attempt_start(self, timeout: float) -> bytes | None:
+    def on_attempt_start(self, timeout: float, endpoint_id: int) -> bytes | None:
         """Return header lines for an attempt that starts now; None if the attempt must not start."""
 
     def on_attempt_end(self, attempt: UpstreamAttempt, status: AttemptStatus) -> None:
--- a/service_proxy/policy/admission.py
+++ b/service_proxy/policy/admission.py
@@ -61,6 +61,9 @@
         request = RequestState(
             event.request_id, request_class, weight, now, now + event.time_budget, now + useful_time
         )
+        if event.earlier_execution is not None:
+            request.earlier_execution = event.earlier_execution
+            request.earlier_forgotten_at = now + event.earlier_execution.remembered_for
         if event.max_attempts:
             request.max_attempts = min(event.max_attempts, request_class.max_attempts)
         self.guard.requests[request.request_id] = request
--- a/service_proxy/policy/balancer.py
+++ b/service_proxy/policy/balancer.py
@@ -203,8 +203,12 @@
         elif now - self._last_step_at >= CONTROL_INTERVAL_S - TIME_TOLERANCE_S:
             self._run_control_step(now)
         for request in self._arrived:
-            if not request.has_ended:  # A client can abandon a request in the batch of its arrival.
+            if request.has_ended:  # A client can abandon a request in the batch of its arrival.
+                continue
+            if request.earlier_execution is None or self.selector.has_endpoint_for(request, self.guard, now):
                 self.admission.admit(request, now)
+            else:
+                self.guard.answer(request)
         if self.queue.requests:
             self.scheduler.run(now)
             self.scheduler.reject_infeasible(now)
--- a/service_proxy/policy/events.py
+++ b/service_proxy/policy/events.py
@@ -65,6 +65,19 @@
     version: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class EarlierExecution:
+    """Execution that may have taken place before the arrival of the request, under the same idempotency key.
+
+    Attributes:
+        zone: zone whose endpoints drop a duplicate; None: all endpoints drop one.
+        remembered_for: seconds from the arrival for which these endpoints still drop a duplicate.
+    """
+
+    zone: str | None
+    remembered_for: float
+
+
 @dataclass(slots=True)
 class RequestArrived:
     """Arrival of a client's request."""
@@ -83,6 +96,8 @@
     # Time budget stated by the client in seconds, before this proxy subtracts its margins; 0 means that
     # `time_budget` is used.
     stated_budget: float = 0.0
+    # Set if an earlier process of this proxy may have sent the request.
+    earlier_execution: EarlierExecution | None = None
 
 
 @dataclass(slots=True)
--- a/service_proxy/policy/request.py
+++ b/service_proxy/policy/request.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import math
+
 from service_proxy.policy.endpoint import TrackedEndpoint
+from service_proxy.policy.events import EarlierExecution
 from service_proxy.policy.request_class import RequestClassState
 from service_proxy.policy.timing import TIME_TOLERANCE_S
 
@@ -54,6 +57,8 @@
         "candidates",
         "candidates_until",
         "deadline",
+        "earlier_execution",
+        "earlier_forgotten_at",
         "has_ended",
         "in_flight",
         "is_queued",
@@ -92,6 +97,10 @@
         self.candidates: list[TrackedEndpoint] | None = None
         # Time until which the request waits for the load reports of its candidates.
         self.candidates_until = 0.0
+        # Execution that may have taken place before the arrival, and when the endpoints no longer drop a
+        # duplicate of it.
+        self.earlier_execution: EarlierExecution | None = None
+        self.earlier_forgotten_at = math.inf
 
     def awaits_reports(self, now: float) -> bool:
         """Return whether the request may still wait for the load reports of its candidates."""
--- a/service_proxy/policy/retry_guard.py
+++ b/service_proxy/policy/retry_guard.py
@@ -56,6 +56,12 @@
         is_open = not request.has_ended and not request.is_streaming and now < request.deadline
         if not is_open or endpoint.state is not EndpointState.SERVING:
             return False
+        if request.earlier_execution is not None and not self._can_repeat_earlier(request, endpoint, now):
+            return False
+        return self._can_add_attempt(request, endpoint, now)
+
+    def _can_add_attempt(self, request: RequestState, endpoint: TrackedEndpoint, now: float) -> bool:
+        """Return whether the request's own attempts allow another one at the endpoint now."""
         if not request.attempts:
             return True
         if len(request.attempts) >= request.max_attempts:
@@ -66,6 +72,17 @@
             return True
         return self._can_repeat_at(request, endpoint, now)
 
+    @staticmethod
+    def _can_repeat_earlier(request: RequestState, endpoint: TrackedEndpoint, now: float) -> bool:
+        """Return whether the endpoint drops a duplicate of an execution before the request's arrival."""
+        earlier = request.earlier_execution
+        idempotency = request.request_class.idempotency
+        if earlier is None or idempotency is Idempotency.IDEMPOTENT:
+            return True
+        is_in_scope = earlier.zone is None or endpoint.zone == earlier.zone
+        is_remembered = now < request.earlier_forgotten_at - WINDOW_MARGIN_S
+        return idempotency is Idempotency.IDEMPOTENT_WITH_KEY and is_in_scope and is_remembered
+
     def _can_repeat_at(self, request: RequestState, endpoint: TrackedEndpoint, now: float) -> bool:
         first = self.first_possible_execution(request)
         if first is None:
@@ -82,10 +99,13 @@
         executed.
         """
         request_class = request.request_class
-        first = self.first_possible_execution(request)
-        if first is None or request_class.idempotency is not Idempotency.IDEMPOTENT_WITH_KEY:
+        if request_class.idempotency is not Idempotency.IDEMPOTENT_WITH_KEY:
             return math.inf
-        return first.sent_at + request_class.idempotency_window - WINDOW_MARGIN_S
+        forgotten_at = request.earlier_forgotten_at
+        first = self.first_possible_execution(request)
+        if first is not None:
+            forgotten_at = min(forgotten_at, first.sent_at + request_class.idempotency_window)
+        return forgotten_at - WINDOW_MARGIN_S
 
     @staticmethod
     def _same_scope(request_class: RequestClassState, first: TrackedEndpoint, other: TrackedEndpoint) -> bool:
@@ -101,6 +121,8 @@
         request_class = request.request_class
         if request_class.idempotency is Idempotency.IDEMPOTENT:
             return True
+        if request.earlier_execution is not None:
+            return False
         has_key = request_class.idempotency is Idempotency.IDEMPOTENT_WITH_KEY
         if has_key and request_class.idempotency_scope is IdempotencyScope.ALL:
             return True
--- a/service_proxy/policy/scheduling.py
+++ b/service_proxy/policy/scheduling.py
@@ -58,13 +58,23 @@
                 if selection is not None:
                     self.queue.remove_at(position)
                     self._start_attempt(request, selection, now)
-                elif request.attempts:
+                elif self._is_confined(request) and not self.selector.has_endpoint_for(
+                    request, self.guard, now
+                ):
+                    self.queue.remove_at(position)
+                    self.admission.reject(request)
+                elif request.attempts or self._is_confined(request):
                     position += 1
                 else:
                     # No endpoint is available for a first attempt, so none is available for the next requests
                     # in the queue either.
                     return
 
+    @staticmethod
+    def _is_confined(request: RequestState) -> bool:
+        """Return whether a first attempt may go only to endpoints that know of an earlier execution."""
+        return request.earlier_execution is not None and not request.attempts
+
     def _is_infeasible(self, request: RequestState, now: float) -> bool:
         """Return whether the request should be rejected, because its answer would probably arrive too late.
 
--- a/service_proxy/policy/selection.py
+++ b/service_proxy/policy/selection.py
@@ -76,6 +76,10 @@
             return False
         return endpoint.slow_start_tokens >= 1 or self.slow_start.capacity_share(endpoint, now) >= 1
 
+    def has_endpoint_for(self, request: RequestState, guard: RetryGuard, now: float) -> bool:
+        """Return whether the guard allows an attempt at any endpoint, whether or not it is usable now."""
+        return any(guard.can_send(request, endpoint, now) for endpoint in self.pool.members)
+
     def select(self, request: RequestState, guard: RetryGuard, now: float) -> Selection | None:
         """Return the usable endpoint of lowest cost (in mean latencies) that the guard allows, or None."""
         estimate_load = self.loads.estimate
--- a/service_proxy/recovery/admission.py
+++ b/service_proxy/recovery/admission.py
@@ -10,6 +10,7 @@
 from service_proxy.net.downstream import Request
 from service_proxy.net.http_status import GATEWAY_TIMEOUT, SERVICE_UNAVAILABLE
 from service_proxy.net.request_filters import Rejection, RequestFilterState
+from service_proxy.policy.events import EarlierExecution
 from service_proxy.policy.settings_types import Settings
 from service_proxy.recovery.endpoint_override import EndpointListOverride
 from service_proxy.recovery.keyed_requests import KeyedRequestLog, KeyedRequestTracker, record_key
@@ -83,12 +84,15 @@
             return None
         key = record_key(request.class_name, request.idempotency_key)
         record = keyed_requests.restored.get(key)
-        if (
-            isinstance(record, KeyedRequestRecord)
-            and retry_permission(record, self.restart_context()) is RetryPermission.NEVER
-        ):
-            return Rejection(MAY_HAVE_BEEN_EXECUTED, GATEWAY_TIMEOUT)
-        return KeyedRequestTracker(keyed_requests, key, request.class_name)
+        earlier = None
+        if isinstance(record, KeyedRequestRecord):
+            permission = retry_permission(record, self.restart_context())
+            remembered_for = keyed_requests.time_remembered(record)
+            if permission is RetryPermission.WITHIN_SCOPE and remembered_for > 0:
+                earlier = EarlierExecution(record.confining_zone, remembered_for)
+            elif permission is not RetryPermission.EXPIRED:
+                return Rejection(MAY_HAVE_BEEN_EXECUTED, GATEWAY_TIMEOUT)
+        return KeyedRequestTracker(keyed_requests, key, request.class_name, earlier)
 
     def _rejection(self, request: Request) -> Rejection | None:
         mode = ADMISSION_BY_PHASE[self.phase]
--- a/service_proxy/recovery/endpoint_override.py
+++ b/service_proxy/recovery/endpoint_override.py
@@ -62,6 +62,11 @@
             self.known.setdefault(endpoint.name, endpoint)
             self.names_by_id[endpoint.entry.endpoint_id] = endpoint.name
 
+    def zone_of(self, endpoint_id: int) -> str | None:
+        """Return the zone of a known endpoint, or None."""
+        endpoint = self.known.get(self.names_by_id.get(endpoint_id, ""))
+        return endpoint.entry.zone if endpoint is not None else None
+
     def apply(self, listing: EndpointList) -> EndpointList:
         """Update the known endpoints from a source's list; return the list that comes into force."""
         if listing.is_snapshot and not self.is_finished and self._is_implausible(listing):
--- a/service_proxy/recovery/persisted_records.py
+++ b/service_proxy/recovery/persisted_records.py
@@ -127,6 +127,10 @@
     recorded_at: float = field(metadata=stored_as("at"))
 
 
+ALL_ENDPOINTS = "all"  # Deduplication scope of all endpoints.
+ENDPOINT_ZONE_FIELD = "ran_in"  # Stored name of `KeyedRequestRecord.endpoint_zone`.
+
+
 @dataclass(frozen=True, slots=True)
 class KeyedRequestRecord:
     """Request that must not take effect twice and that may have been executed.
@@ -135,7 +139,11 @@
         deduplication_scope: endpoints that drop a duplicate: the name of a zone, or "all"; "": no endpoint is
             known to drop one. The value is also "" if only the endpoints of one cell drop duplicates. Earlier
             versions wrote "all" in that case.
+        recorded_at: wall time right before the first attempt, s. The endpoints drop duplicates for the
+            idempotency window of the class from then on.
         expires_at: wall time until which a client may retry the request, s.
+        endpoint_zone: zone of the endpoint that the first attempt was sent to; "": unknown, as in records of
+            earlier versions, whose `deduplication_scope` is the zone of the proxy.
     """
 
     KIND: ClassVar[str] = "keyed"
@@ -144,6 +152,19 @@
     deduplication_scope: str = field(metadata=stored_as("group"))
     recorded_at: float = field(metadata=stored_as("at"))
     expires_at: float = field(metadata=stored_as("until"))
+    endpoint_zone: str = field(default="", metadata=stored_as(ENDPOINT_ZONE_FIELD))
+
+    @property
+    def confining_zone(self) -> str | None:
+        """Return the zone whose endpoints drop a duplicate; None: all endpoints drop one."""
+        return None if self.deduplication_scope == ALL_ENDPOINTS else self.deduplication_scope
+
+    @property
+    def has_known_scope(self) -> bool:
+        """Return whether it is known which endpoints drop a duplicate."""
+        return self.deduplication_scope == ALL_ENDPOINTS or bool(
+            self.deduplication_scope and self.deduplication_scope == self.endpoint_zone
+        )
 
 
 PersistedRecord = (
@@ -203,7 +224,8 @@
 
 def stored_fields(record: PersistedRecord) -> dict[str, Any]:
     """Return the fields of a record by their stored names."""
-    return {name: getattr(record, attribute) for name, attribute in ATTRIBUTES[record.KIND].items()}
+    operation = put_operation("", record)
+    return {name: operation[name] for name in ATTRIBUTES[record.KIND] if name in operation}
 
 
 def put_operation(key: str, record: PersistedRecord) -> RawRecord:
@@ -212,6 +234,8 @@
     # This code runs for each keyed request, and dataclasses.asdict takes five times as long.
     for name, attribute in ATTRIBUTES[record.KIND].items():
         operation[name] = getattr(record, attribute)
+    if isinstance(record, KeyedRequestRecord) and not record.endpoint_zone:
+        del operation[ENDPOINT_ZONE_FIELD]  # A record that lacks it is written as by earlier versions.
     return operation
 
 
--- a/service_proxy/recovery/service.py
+++ b/service_proxy/recovery/service.py
@@ -111,6 +111,8 @@
             self.recorder = StateRecorder(writer, boot_id, self.restored)
             self.keyed_requests = KeyedRequestLog(writer, clock, self.contents.state, config.settings)
         self.endpoint_override = self._create_override(config)
+        if self.keyed_requests is not None:
+            self.keyed_requests.zone_of_endpoint = self.endpoint_override.zone_of
         self.schedule = _create_schedule(config)
         self.filter = self._create_filter(config)
         self.health_checks = UnansweredEndpointChecks(config.settings.proxy_index)
--- a/service_proxy/recovery/validity_rules.py
+++ b/service_proxy/recovery/validity_rules.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from service_proxy.recovery.persisted_records import (
+    ALL_ENDPOINTS,
     BootRecord,
     EndpointRecord,
     EndpointSourceRecord,
@@ -28,7 +29,6 @@
 PERFORMANCE_MAX_AGE_S = 120.0  # Age up to which an endpoint's latency is probably still the same.
 MEMBER_MAX_AGE_S = 30 * 86_400.0  # Age after which a member's address is no longer tried.
 NO_EXPIRY = float("inf")
-ALL_ENDPOINTS = "all"  # Deduplication scope of all endpoints.
 
 
 class OutageScope(Enum):
@@ -225,7 +225,7 @@
     if is_clock_trusted and context.now > record.expires_at:
         return RetryPermission.EXPIRED
     is_wide_outage = context.outage in (OutageScope.FLEET, OutageScope.UNKNOWN)
-    if not record.deduplication_scope or not is_clock_trusted or is_wide_outage:
+    if not record.has_known_scope or not is_clock_trusted or is_wide_outage:
         return RetryPermission.NEVER
     is_scope_affected = record.deduplication_scope in context.affected_zones or (
         bool(context.affected_zones) and record.deduplication_scope == ALL_ENDPOINTS
--- a/service_proxy/sidecar/inbound.py
+++ b/service_proxy/sidecar/inbound.py
@@ -317,7 +317,8 @@
         request = inbound.request
         time_left = inbound.deadline - now
         extra_headers = b"".join(
-            filter_state.on_attempt_start(time_left) or b"" for filter_state in inbound.filter_states
+            filter_state.on_attempt_start(time_left, APPLICATION_ENDPOINT_ID) or b""
+            for filter_state in inbound.filter_states
         )
         head = b"%s%sx-budget: %du\r\n\r\n" % (request.head, extra_headers, max(1, int(time_left * 1e6)))
         inbound.attempt = UpstreamAttempt(
--- a/tests/deadlines/test_deadline_filters.py
+++ b/tests/deadlines/test_deadline_filters.py
@@ -68,7 +68,7 @@
         return state
 
     def reference(self, state: InboundRequestState) -> bytes:
-        return state.on_attempt_start(1.0).removeprefix(b"tier-budget: ").removesuffix(b"\r\n")
+        return state.on_attempt_start(1.0, 1).removeprefix(b"tier-budget: ").removesuffix(b"\r\n")
 
     def call(
         self, value: bytes | None, abandon: Callable[[], None] = do_nothing, **more: Any
@@ -124,7 +124,7 @@
     state: OutboundCallState, timeout: float = 5.0, id: bytes = b"9b1f03aa5c7e2d41"
 ) -> BudgetHeader:
     """Start the next attempt; return the budget in the attempt's header."""
-    lines = state.on_attempt_start(timeout)
+    lines = state.on_attempt_start(timeout, 1)
     assert lines is not None
     return header.decode_budget(lines.removeprefix(b"tier-budget: ").removesuffix(b"\r\n"), id, KEYS)
 
@@ -296,7 +296,7 @@
     first = sidecar.call(reference, id=b"1")
     start_attempt(first, id=b"1")
     end_attempt(first, EndedAttempt(0), AttemptStatus.RESET)  # The attempt used its whole grant.
-    assert first.max_attempts == 2 and first.on_attempt_start(1.0) is None
+    assert first.max_attempts == 2 and first.on_attempt_start(1.0, 1) is None
     first.on_request_end(True)
     second = sidecar.call(reference, id=b"2")
     assert second.max_attempts == 2
@@ -374,7 +374,9 @@
     done = sidecar.call(reference, lambda: abandoned.append("done"), id=b"2")
     done.on_request_end(True)
     inner.on_request_end(False)
-    assert abandoned == ["out"] and out.on_attempt_start(1.0) is None and not sidecar.propagation.open_calls
+    assert (
+        abandoned == ["out"] and out.on_attempt_start(1.0, 1) is None and not sidecar.propagation.open_calls
+    )
 
 
 def test_calls_in_flight_may_go_on_when_the_request_is_answered(tmp_path: Path) -> None:
@@ -383,7 +385,7 @@
     abandoned: list[str] = []
     out = sidecar.call(sidecar.reference(inner), lambda: abandoned.append("out"), id=b"1")
     inner.on_request_end(True)
-    assert abandoned == [] and out.on_attempt_start(1.0) is None  # A further attempt is not started.
+    assert abandoned == [] and out.on_attempt_start(1.0, 1) is None  # A further attempt is not started.
 
 
 def test_weight_falls_after_the_outermost_latency_objective(tmp_path: Path) -> None:
@@ -427,7 +429,7 @@
         sidecar.file.write_text(text)
         sidecar.propagation.reread_keys()
         id = b"call-%d" % place
-        lines = one.call(None, id=id).on_attempt_start(1.0)
+        lines = one.call(None, id=id).on_attempt_start(1.0, 1)
         assert lines is not None
         value = lines.removeprefix(b"tier-budget: ").removesuffix(b"\r\n")
         assert two.request(value, id=id).has_budget_header, place
--- a/tests/policy/test_retry_guard.py
+++ b/tests/policy/test_retry_guard.py
@@ -8,8 +8,19 @@
 import pytest
 from balancer_driver import CLASSES, BalancerDriver, attempts, entries, settings, state_change
 
-from service_proxy import AttemptStatus, EndpointState, Fail, IdempotencyScope, Reject, StartAttempt
+from service_proxy import (
+    AttemptStatus,
+    EndpointEntry,
+    EndpointListUpdate,
+    EndpointState,
+    Fail,
+    IdempotencyScope,
+    ListScope,
+    Reject,
+    StartAttempt,
+)
 from service_proxy.policy.endpoint import TrackedEndpoint
+from service_proxy.policy.events import EarlierExecution
 from service_proxy.policy.request import RequestState
 from service_proxy.policy.request_class import RequestClassState
 from service_proxy.policy.retry_guard import WINDOW_MARGIN_S, RetryGuard
@@ -168,3 +179,51 @@
             for attempt in attempts(driver.arrive(request_id)):
                 assert attempt.endpoint_id == 2
                 driver.end_attempt(attempt, AttemptStatus.OK)
+
+
+TWO_ZONES = [*entries(1, 2), *entries(3, 4, zone="b")]
+
+
+@pytest.mark.parametrize("zone", ["a", "b"])
+def test_a_request_that_may_have_run_before_is_sent_only_where_a_duplicate_is_dropped(zone: str) -> None:
+    """Guards against a second execution of a key in another zone, after a restart of its proxy."""
+    driver = BalancerDriver(settings(), endpoints=TWO_ZONES)
+    earlier = EarlierExecution(zone, 10.0)
+    for request_id in range(40):
+        for attempt in attempts(driver.arrive(request_id, "zoned", earlier_execution=earlier)):
+            assert attempt.endpoint_id in ((1, 2) if zone == "a" else (3, 4))
+            assert attempt.send_by == pytest.approx(driver.now + 10.0 - WINDOW_MARGIN_S)
+            driver.end_attempt(attempt, AttemptStatus.OK)
+        driver.advance(0.01)
+    assert len(attempts(driver.actions)) == 40
+
+
+@pytest.mark.parametrize(
+    ("class_name", "earlier"),
+    [
+        ("zoned", EarlierExecution("c", 10.0)),
+        ("zoned", EarlierExecution("a", WINDOW_MARGIN_S)),
+        ("keyed", EarlierExecution(None, 0.0)),
+        ("once", EarlierExecution(None, 10.0)),
+    ],
+    ids=["no endpoint", "forgotten", "forgotten by all", "no key"],
+)
+def test_a_request_that_may_have_run_before_and_fits_no_endpoint_fails_at_once(
+    class_name: str, earlier: EarlierExecution
+) -> None:
+    """Guards against a wait until the deadline, and against a rejection, which promises no effect."""
+    driver = BalancerDriver(settings(), endpoints=TWO_ZONES)
+    actions = driver.arrive(1, class_name, earlier_execution=earlier)
+    assert [action for action in actions if isinstance(action, Fail | Reject | StartAttempt)] == [Fail(1)]
+
+
+def test_a_confined_request_does_not_hold_up_the_queue_and_fails_when_its_last_endpoint_leaves() -> None:
+    """Guards against requests that wait behind one whose endpoints can't take an attempt now."""
+    cold = EndpointEntry(3, zone="b", not_before=200.0)
+    driver = BalancerDriver(settings(), endpoints=[*entries(1, 2), cold])
+    assert not attempts(driver.arrive(1, "zoned", earlier_execution=EarlierExecution("b", 10.0)))
+    assert attempts(driver.arrive(2, "zoned"), 2)
+    removed = EndpointEntry(3, zone="b", state=EndpointState.REMOVED)
+    driver.feed(EndpointListUpdate(ListScope.INCREMENTAL, [removed]))
+    driver.advance(0.1)
+    assert Fail(1) in driver.actions and not attempts(driver.actions, 1)
--- a/tests/recovery/test_validity_rules.py
+++ b/tests/recovery/test_validity_rules.py
@@ -90,7 +90,7 @@
 
 
 def test_request_that_may_have_run_is_retried_only_where_a_duplicate_is_dropped() -> None:
-    record = KeyedRequestRecord("reserva", "a", NOW - 1, NOW + 5)
+    record = KeyedRequestRecord("reserva", "a", NOW - 1, NOW + 5, "a")
     cases = {
         OutageScope.PROCESS: RetryPermission.WITHIN_SCOPE,
         OutageScope.MACHINE: RetryPermission.WITHIN_SCOPE,
