Close a connection whose client reads no responses, and only such a one

Callers see nothing new; a client that sent many requests at once and reads nothing kept its connection, descriptor and buffers without end, because its unread input forbids the close of an idle connection.

Evidence: the new test with "reads nothing" on keeps the connection.

Change: at the timeout of a blocked connection the bytes that the client's machine has not taken are compared with those at the timeout before (SIOCOUTQ; asyncio's buffer alone stands still for seconds, as the kernel takes bytes in steps of a third of its buffer). Without progress it is closed as after a last response, with progress the timeout restarts.

--- a/service_proxy/net/downstream/connection.py
+++ b/service_proxy/net/downstream/connection.py
@@ -23,7 +23,7 @@
 from service_proxy.net.limits import LOOP_ITERATION_S
 from service_proxy.net.protocols import ResponseSource
 from service_proxy.net.request_body import RequestBody, encode_chunk
-from service_proxy.net.socket_polling import has_ended, reset_on_close
+from service_proxy.net.socket_polling import has_ended, reset_on_close, unacknowledged_bytes
 
 log = logging.getLogger(__name__)
 
@@ -55,7 +55,7 @@
         response_ends_at_close: the end of the connection ends the streamed response.
         is_last_response: the connection closes after the current response.
         state_since: when `state_table` last changed or the timeout restarted (monotonic, s).
-        last_unsent_bytes: response bytes that the client had not read at the previous linger timeout.
+        last_unsent_bytes: response bytes that the client had not read at the previous timeout.
     """
 
     __slots__ = (
@@ -404,12 +404,36 @@
     def close_unless_unread(self) -> None:
         """Close the connection between two requests, unless input is unread.
 
-        The unread input may hold a request that the proxy accepts and has to respond to. A client that does
-        not read its responses receives no further one.
+        The unread input may hold a request that the proxy accepts and has to respond to.
         """
-        if self.write_blocked or not self.has_unread_input:
+        if not self.has_unread_input:
             self.close()
 
+    def on_idle_timeout(self) -> None:
+        """Close an idle connection, also if input is unread because the client reads no responses."""
+        if self.write_blocked:
+            self._on_blocked_timeout()
+        else:
+            self.close_unless_unread()
+
+    def _on_blocked_timeout(self) -> None:
+        """Close a connection whose client reads no responses, or restart the timeout if it reads."""
+        if self._has_read_responses():
+            self.server.set_state(self, self.state_table)
+        else:
+            self.close()
+
+    def _has_read_responses(self) -> bool:
+        """Return whether the client has read a part of the responses since the previous timeout.
+
+        The kernel takes further bytes in large steps, so its own buffer is looked at, too.
+        """
+        transport = self.transport
+        unsent = self.unsent_bytes + (unacknowledged_bytes(transport) if transport is not None else 0)
+        has_read = unsent != self.last_unsent_bytes
+        self.last_unsent_bytes = unsent
+        return has_read
+
     def on_request_timeout(self) -> None:
         """Respond with 408 if a request is partial at its timeout; close the connection if none has begun."""
         if self.read_paused and self.early_request is not None:
@@ -417,6 +441,8 @@
             self.server.set_state(self, self.state_table)
         elif self.awaits_turn:  # The proxy delays the request, not the client.
             self.server.set_state(self, self.server.awaiting_request)
+        elif self.write_blocked:
+            self._on_blocked_timeout()
         elif self.raw_bytes or self.in_message:
             self._reject_input(BadRequestError(408, "the request did not end"))
             self._dispatch_next()
@@ -430,9 +456,7 @@
 
     def on_linger_timeout(self) -> None:
         """Abort the connection, or restart the linger timeout if the client has read part of the response."""
-        unsent = self.unsent_bytes
-        if unsent and unsent != self.last_unsent_bytes:
-            self.last_unsent_bytes = unsent
+        if self.unsent_bytes and self._has_read_responses():
             self.server.set_state(self, self.server.closing)
         else:
             self.abort()
--- a/service_proxy/net/downstream/http_server.py
+++ b/service_proxy/net/downstream/http_server.py
@@ -259,7 +259,7 @@
             return
         for state_table, timeout, on_timeout in (
             (self.awaiting_request, REQUEST_TIMEOUT_S, DownstreamConnection.on_request_timeout),
-            (self.idle, KEEP_ALIVE_TIMEOUT_S, DownstreamConnection.close_unless_unread),
+            (self.idle, KEEP_ALIVE_TIMEOUT_S, DownstreamConnection.on_idle_timeout),
             (self.closing, LINGER_TIMEOUT_S, DownstreamConnection.on_linger_timeout),
         ):
             timed_out = []
--- a/service_proxy/net/socket_polling.py
+++ b/service_proxy/net/socket_polling.py
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
 import struct
+import termios
 from collections.abc import Iterable
 
 
@@ -33,6 +35,19 @@
     return bool(poll.poll(0))
 
 
+def unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return the number of written bytes that the peer's machine has not taken (tcp(7), SIOCOUTQ).
+
+    Return 0 where the system does not tell.
+    """
+    buffer = bytearray(struct.calcsize("i"))
+    try:
+        fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, buffer)
+    except OSError:
+        return 0
+    return int(struct.unpack("i", buffer)[0])
+
+
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
     """Let the close of the transport reset the connection (socket(7), SO_LINGER with timeout 0)."""
     transport.get_extra_info("socket").setsockopt(
--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -27,7 +27,9 @@
 from service_proxy.net.downstream.http_server import (
     BASE_MEMORY_MB,
     CONNECTION_MEMORY_MB,
+    LINGER_TIMEOUT_S,
     REJECTED_CONNECTION_MEMORY_MB,
+    REQUEST_TIMEOUT_S,
     HttpServer,
 )
 from service_proxy.net.downstream.input_buffer import (
@@ -164,6 +166,36 @@
     uvloop.run(test())
 
 
+@pytest.mark.parametrize("reads", [False, True], ids=["reads nothing", "reads slowly"])
+def test_only_a_client_that_reads_its_responses_keeps_its_connection(reads: bool) -> None:
+    """Guards against connections that stay for ever, and against requests lost to a slow reader."""
+
+    async def test() -> None:
+        handler = CountingHandler(body=bytes(100_000))
+        async with listening(handler) as (server, address):
+            loop = asyncio.get_running_loop()
+            count = 60
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect(address)
+            client.sendall(b"".join(get_stock(f"0-{n}") for n in range(count)))
+            client.setblocking(False)
+            end = loop.time() + REQUEST_TIMEOUT_S + 2 * LINGER_TIMEOUT_S + 1.0
+            received = 0
+            while loop.time() < end and (reads or server.connections or not handler.requests):
+                await asyncio.sleep(0.01)
+                if reads:
+                    received += len(await loop.sock_recv(client, 20_000))
+            assert bool(server.connections) == reads
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                while reads and received < count * len(handler.body):
+                    received += len(await loop.sock_recv(client, 1_000_000))
+            assert len(handler.requests) == count or not reads
+            client.close()
+
+    uvloop.run(test())
+
+
 def test_a_request_that_waited_in_the_socket_counts_from_its_arrival() -> None:
     """Guards against a deadline that begins when the proxy gets to a request, long after it was sent."""
 
