A registrar that stops deletes only the node of its own session

Cause: Registrar.leave deleted the node by path. Evidence: the new test finds no node on the code before.

--- a/service_proxy/ephemeral_nodes/registrar.py
+++ b/service_proxy/ephemeral_nodes/registrar.py
@@ -185,15 +185,21 @@
                 await self.registered.wait()
 
     async def leave(self, drain: float) -> None:
-        """Drain the endpoint, wait `drain` s for requests in flight, delete the znode, close the session."""
+        """Drain the endpoint, wait `drain` s for requests in flight, delete its znode, close the session."""
         await self.drain()
         await asyncio.sleep(drain)
         if self._task is not None:
             self._task.cancel()
         with contextlib.suppress(ServiceError, ConnectionLostError, TooManyRequestsError):
-            await self.session.delete(self.path)
+            await self._delete_own_node()
         await self.session.close()
 
+    async def _delete_own_node(self) -> None:
+        """Delete the znode if this session owns it; another endpoint may have the name."""
+        _, stat = await self.session.get_data(self.path)
+        if stat.ephemeral_owner == self.session.session_id:
+            await self.session.delete(self.path, stat.version)
+
     def crash(self) -> None:
         """Stop like a killed process: delete nothing, and leave the session to its timeout."""
         if self._task is not None:
--- a/tests/ephemeral_nodes/test_register.py
+++ b/tests/ephemeral_nodes/test_register.py
@@ -155,6 +155,22 @@
     run(test)
 
 
+def test_a_registrar_that_waits_for_its_name_leaves_the_node_of_the_other_endpoint() -> None:
+    """Guards against a holder that is deleted because a registrar that waits for the name is stopped."""
+
+    async def test() -> None:
+        async with ensemble() as service:
+            other = await registered(service, node(address="127.0.0.1:9"))
+            waiting = start_registrar(service)
+            await until(lambda: len(service.sessions) == 2, "the session")
+            await waiting.leave(0.0)
+            assert registered_node(service) == node(address="127.0.0.1:9")
+            assert other.registrations == 1 and other.registered.is_set()
+            other.crash()
+
+    run(test)
+
+
 def test_draining_survives_an_expiry() -> None:
     async def test() -> None:
         async with ensemble() as service:
