The last whole list is in force when a recovery ends, also a rejected one

Cause: what the sources list was not replaced by a rejected list, and the end of the recovery removes only what the sources do not list.

Change: EndpointListOverride.listed is what the sources said last.

--- a/service_proxy/recovery/endpoint_override.py
+++ b/service_proxy/recovery/endpoint_override.py
@@ -26,7 +26,7 @@
     """State of the endpoints during a recovery. Times are monotonic, s.
 
     Attributes:
-        listed: endpoints that the sources list, by name.
+        listed: endpoints that the sources list, by name, whether or not their list was accepted.
         known: endpoints that the sources list and, during the recovery, those of the store, by name.
         names_by_id: names of endpoints by endpoint id.
         first_answers: time of the first answer of each endpoint that answers, by name.
@@ -69,6 +69,9 @@
 
     def apply(self, listing: EndpointList) -> EndpointList:
         """Update the known endpoints from a source's list; return the list that comes into force."""
+        if listing.is_snapshot:
+            # Also a rejected list is what the source lists: it comes into force when the recovery ends.
+            self.listed = {}
         if listing.is_snapshot and not self.is_finished and self._is_implausible(listing):
             self.rejected_lists += 1
             listing = EndpointList(listing.version, False, listing.endpoints)
@@ -98,7 +101,6 @@
         return listed_count < MIN_LISTED_SHARE * len(self.known) and (answering_count > 0 or not listed_count)
 
     def _remove_unlisted(self, listing: EndpointList) -> None:
-        self.listed = {}
         names = {endpoint.name for endpoint in listing.endpoints}
         for name in [name for name in self.known if name not in names]:
             self._remove_known(name)
