--- a/service_proxy/net/downstream/turn_reader.py
+++ b/service_proxy/net/downstream/turn_reader.py
@@ -42,6 +42,9 @@
         is_closing: the last response has been written, or the connection is aborted, detached or lost.
         input_waited: the buffered input arrived before the last response.
         is_parsing: buffered input is being parsed.
+        last_read_filled_buffer: the last read took all that it could, so that more may lie in the socket.
+        paused_at: earliest time at which bytes behind the last read may have arrived (monotonic, s).
+        read_bytes_limit: number of bytes that the next read may take.
         read_paused: the proxy has paused reading from the client.
         unread_since: earliest time at which bytes in the socket may have arrived (monotonic, s); 0: they have
             not arrived before the next read.
