A repeat that starts no attempt is only rejected if no earlier one may have run

Cause: the constraint of a restored record reached the policy's retry guard, but not the answers that the dispatcher gives by itself, two of which stood before the filters.

Change: OpenRequest.maybe_executed is set from the filters' finding, and the dispatcher refuses a request only behind the filters, with 504 where an earlier request may have run. The filters' states end with it.

Also: a completed streamed body no longer counts as one whose receiver is slow, so a client that reads nothing behind one is closed like any other.

--- a/service_proxy/net/dispatcher.py
+++ b/service_proxy/net/dispatcher.py
@@ -44,6 +44,7 @@
 POLICY_MARGIN_S = 0.02  # Margin by which the policy's deadline precedes the dispatcher's deadline.
 # Number of open requests that counts as full load if the settings set no limit.
 DEFAULT_MAX_OPEN_REQUESTS = 1000
+RETRY_AFTER_OVERLOAD = ((b"retry-after", b"1"),)
 REMOVED_RESPONSE_HEADERS = HOP_BY_HOP | {b"x-load-report", b"x-rejected"}
 READY = LocalResponse(200, b"ok\n")
 NOT_READY = LocalResponse(503, b"not ready\n")
@@ -253,9 +254,6 @@
             # An earlier request with this id is in flight; a second copy could run at the same time.
             writer.respond(409, (), b"this X-Call-Id is in use\n")
             return None
-        if self.settings.max_open_requests and len(self.table.requests) >= self.settings.max_open_requests:
-            writer.respond(503, ((b"retry-after", b"1"),), b"too many calls\n")
-            return None
         self.requests_accepted += 1
         # A request may have waited in the socket before it was read. The wait reduces the client's budget,
         # and the lag of this event loop is the only indication of its length.
@@ -264,10 +262,6 @@
         # states.
         client_budget = min(request.time_budget, self.deadline_by_class[request.class_name])
         deadline = min(request.received_at + client_budget - margin, self.table.shutdown_deadline)
-        if request.body.is_complete and deadline <= time.monotonic():
-            # The request waited behind others of its connection. Nothing was executed.
-            writer.respond(503, (), b"out of time\n")
-            return None
         open_request = OpenRequest(self.requests_accepted, request, writer, deadline)
         if not request.body.is_complete:  # The time budget starts with the last byte of the body.
             open_request.deadline = self.table.shutdown_deadline
@@ -280,10 +274,25 @@
                 return None
             limits = filtered
             deadline = min(deadline, open_request.deadline)
+        if self._refuse(open_request):
+            return None
         self.table.add(open_request)
         self._enqueue_arrival(open_request, client_budget, deadline, limits)
         return open_request
 
+    def _refuse(self, open_request: OpenRequest) -> bool:
+        """Answer a new request for which there is no room or no time; return whether it was answered."""
+        limit = self.settings.max_open_requests
+        if limit and len(self.table.requests) >= limit:
+            self.table.refuse(open_request, RETRY_AFTER_OVERLOAD, b"too many calls\n")
+            return True
+        is_overdue = open_request.deadline <= time.monotonic()
+        if is_overdue and open_request.request.body.is_complete:
+            # The request waited behind others of its connection.
+            self.table.refuse(open_request, (), b"out of time\n")
+            return True
+        return False
+
     def client_disconnected(self, open_request: OpenRequest) -> None:
         """End a request whose client has disconnected."""
         self.table.client_disconnected(open_request)
--- a/service_proxy/net/downstream/connection.py
+++ b/service_proxy/net/downstream/connection.py
@@ -170,12 +170,11 @@
         """Respond with `error` to a request that can't be read any further, and discard further input."""
         self.discarding_input = True
         self.input.clear()
-        early_request = self.early_request
-        if early_request is None or early_request.body.is_complete:
+        if not self._is_streaming_body:
             if self.in_message:
                 self._drop_body()
             self.pending_requests.append((error.response(), False))
-        elif early_request is not self.current_request:  # The request is still queued.
+        elif self.early_request is not self.current_request:  # The request is still queued.
             self._drop_body()
             self.pending_requests[-1] = error.response(), False
         elif self.response_due and self.response_source is None:
@@ -436,7 +435,7 @@
 
     def on_request_timeout(self) -> None:
         """Respond with 408 if a request is partial at its timeout; close the connection if none has begun."""
-        if self.read_paused and self.early_request is not None:
+        if self.read_paused and self._is_streaming_body:
             # The receiver of the body is slow, not the client, so the timeout restarts.
             self.server.set_state(self, self.state_table)
         elif self.awaits_turn:  # The proxy delays the request, not the client.
--- a/service_proxy/net/downstream/request_reader.py
+++ b/service_proxy/net/downstream/request_reader.py
@@ -140,6 +140,11 @@
         self.response_due = False
         self.state_table: dict[Any, None] | None = None
 
+    @property
+    def _is_streaming_body(self) -> bool:
+        """Return whether the arriving request was dispatched before its body was complete."""
+        return self.early_request is not None and not self.early_request.body.is_complete
+
     @property
     def _content_left(self) -> int:
         """Return the number of bytes that the arriving body of known length still lacks."""
--- a/service_proxy/net/downstream/turn_reader.py
+++ b/service_proxy/net/downstream/turn_reader.py
@@ -193,7 +193,7 @@
             self.unread_since = self.paused_at if has_input(transport) else 0.0
             self.last_read_filled_buffer = False
             transport.resume_reading()
-            if self.early_request is not None and self.state_table is not None:
+            if self._is_streaming_body and self.state_table is not None:
                 # The client could not send while reading was paused, so the request timeout restarts.
                 self.server.set_state(self, self.state_table)
         self.read_paused = pause
--- a/service_proxy/net/open_request.py
+++ b/service_proxy/net/open_request.py
@@ -32,7 +32,8 @@
     Attributes:
         request_id: Request id of the policy; `request.id` is the id sent by the client.
         deadline: Time by which the request is answered, whatever the policy decides (monotonic, s).
-        maybe_executed: True if an endpoint may have executed an attempt.
+        maybe_executed: True if an endpoint may have executed an attempt, or an earlier request that this one
+            repeats.
         attempt: The attempt in flight.
         streamed_response: The response, if it is streamed; the request is not open any more.
     """
@@ -71,5 +72,7 @@
             self.deadline = min(self.deadline, state.deadline)
         attempts = [state.max_attempts for state in filter_states if state.max_attempts]
         weight_share = math.prod(state.weight_share for state in filter_states)
-        earlier = (state.earlier_execution for state in filter_states if state.earlier_execution is not None)
-        return FilterLimits(min(attempts, default=0), weight_share, next(earlier, None))
+        executions = (state.earlier_execution for state in filter_states)
+        earlier = next((execution for execution in executions if execution is not None), None)
+        self.maybe_executed = earlier is not None
+        return FilterLimits(min(attempts, default=0), weight_share, earlier)
--- a/service_proxy/net/open_request_table.py
+++ b/service_proxy/net/open_request_table.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import service_proxy as api
+from service_proxy.net.http_status import GATEWAY_TIMEOUT, SERVICE_UNAVAILABLE
 from service_proxy.net.limits import LOOP_ITERATION_S, LOOP_STALL_S
 from service_proxy.net.open_request import OpenRequest
 from service_proxy.net.protocols import ResponseSource
@@ -130,11 +131,19 @@
             open_request.attempt is None or not open_request.attempt.sent
         )
         attempt = open_request.attempt
-        self.respond(open_request, 503 if never_executed else 504, (), text)
+        status_code = SERVICE_UNAVAILABLE if never_executed else GATEWAY_TIMEOUT
+        self.respond(open_request, status_code, (), text)
         self.enqueue_event(api.RequestAbandoned(open_request.request_id))
         if attempt is not None:
             attempt.end(status if attempt.sent else api.AttemptStatus.NOT_SENT)
 
+    def refuse(self, open_request: OpenRequest, headers: Any, text: bytes) -> None:
+        """Answer a request that was never added: with a rejection, unless an earlier one may have run."""
+        for state in open_request.filter_states:
+            state.on_request_end(True)
+        status_code = GATEWAY_TIMEOUT if open_request.maybe_executed else SERVICE_UNAVAILABLE
+        open_request.writer.respond(status_code, headers, text)
+
     def respond(self, open_request: OpenRequest, status_code: int, headers: Any, body: bytes) -> None:
         """Write the final response after removing the request, so that a second response is impossible."""
         self.finish(open_request, True)
--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -39,6 +39,7 @@
     ReceivedBytes,
 )
 from service_proxy.net.downstream.request import LocalResponse, Request, ResponseWriter
+from service_proxy.net.downstream.request_parser import MAX_BUFFERED_BODY_BYTES
 from service_proxy.net.downstream.turn_reader import MAX_REQUESTS_PER_TURN, REJECTED_READ_BYTES
 from service_proxy.net.limits import MAX_MESSAGE_BYTES
 from service_proxy.policy.settings_types import Idempotency
@@ -196,6 +197,33 @@
     uvloop.run(test())
 
 
+def test_a_client_that_reads_nothing_is_closed_also_after_a_streamed_request() -> None:
+    """Guards against a completed streamed body that is taken for one whose receiver is slow."""
+
+    async def test() -> None:
+        handler = CountingHandler(body=bytes(100_000), is_holding=True)
+        async with listening(handler) as (server, address):
+            server.pool_bytes = 0  # A body that is too long for a connection's buffer is streamed.
+            body = bytes(MAX_BUFFERED_BODY_BYTES + 1000)
+            flood = b"".join(get_stock(f"0-{n}") for n in range(60))
+            client = connect_and_send(address, post_head("a" * 16, len(body)) + body + flood)
+            await handler.wait_for(1)
+            streamed = handler.requests[0].body
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                while not streamed.is_complete:
+                    streamed.take_parts()
+                    await asyncio.sleep(0)
+            assert not streamed.is_replayable
+            handler.is_holding = False
+            handler.writers[0].respond(200, (), handler.body)
+            async with asyncio.timeout(REQUEST_TIMEOUT_S + 3 * LINGER_TIMEOUT_S):
+                while server.connections:
+                    await asyncio.sleep(0.01)
+            client.close()
+
+    uvloop.run(test())
+
+
 def test_a_request_that_waited_in_the_socket_counts_from_its_arrival() -> None:
     """Guards against a deadline that begins when the proxy gets to a request, long after it was sent."""
 
