--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -17,6 +17,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from pathlib import Path
+from typing import NamedTuple
 
 from benchmarks.report import BenchmarkReport, run_benchmark
 from harness.clients import DEFAULT_CLASSES, NOT_SENT, ClientPool
@@ -36,7 +37,9 @@
 USUAL_CLASS = DEFAULT_CLASSES[0]
 FLOOD_CLIENTS = 300
 FLOOD_REQUESTS = 1000
-LONG_BODY_REQUESTS = 30  # requests of each client with long bodies
+LONG_REQUESTS = 30  # requests of each client where each request is long
+LONG_FORMS = ("long-bodies", "long-heads", "streamed-bodies")
+PARTS = 10  # writes in which a flood is sent in parts
 QUIET_S = 2.0  # time before the flood
 FLOOD_S = 18.0
 FLOOD_SHORT_S = 8.0
@@ -62,18 +65,38 @@
     return longest
 
 
-async def start_flood(form: str, parts: int, address: tuple[str, int], seconds: float) -> bytes:
+class Variant(NamedTuple):
+    """Variant of a flood.
+
+    Attributes:
+        form: form of each request.
+        parts: number of writes in which a client sends its requests.
+        again: a client connects and sends the same again as soon as it has a response.
+    """
+
+    form: str
+    parts: int
+    again: bool
+
+    @property
+    def name(self) -> str:
+        """Name of the variant's figures."""
+        return f"{self.form}_in_{self.parts}" + ("_again" if self.again else "")
+
+
+async def start_flood(variant: Variant, address: tuple[str, int], seconds: float) -> bytes:
     """Run the flood in a process of its own; return the line that it prints."""
-    requests = LONG_BODY_REQUESTS if form == "long-bodies" else FLOOD_REQUESTS
+    requests = LONG_REQUESTS if variant.form in LONG_FORMS else FLOOD_REQUESTS
     options = {
         "--to": f"{address[0]}:{address[1]}",
-        "--form": form,
+        "--form": variant.form,
         "--clients": FLOOD_CLIENTS,
         "--requests": requests,
-        "--parts": parts,
+        "--parts": variant.parts,
         "--seconds": seconds,
     }
     arguments = [str(word) for pair in options.items() for word in pair]
+    arguments += ["--again"] if variant.again else []
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "harness.flood_clients", *arguments, cwd=ROOT, stdout=asyncio.subprocess.PIPE
     )
@@ -107,16 +130,16 @@
             endpoint.stop()
 
 
-async def play(report: BenchmarkReport, form: str, parts: int, root: Path) -> None:
-    """Measure one form of flood."""
-    name = f"{form}_in_{parts}"
+async def play(report: BenchmarkReport, variant: Variant, root: Path) -> None:
+    """Measure one variant of a flood."""
+    name = variant.name
     flood_s = FLOOD_SHORT_S if report.short else FLOOD_S
     async with deployment(root) as (proxy, recorder):
         pool = ClientPool(recorder, proxy.address, "usual", report.seed, [USUAL_CLASS])
         usual = asyncio.create_task(pool.run(QUIET_S + flood_s, USUAL_RATE))
         await asyncio.sleep(QUIET_S)
         probe = asyncio.create_task(longest_wait(proxy.address))
-        flood_answers = await start_flood(form, parts, proxy.address, flood_s)
+        flood_answers = await start_flood(variant, proxy.address, flood_s)
         await usual
         probe.cancel()
         wait = await probe
@@ -138,10 +161,13 @@
 
 
 async def measure(report: BenchmarkReport, options: argparse.Namespace) -> None:
-    """Measure all forms of flood, each written at once and in parts."""
+    """Measure all forms of flood: each written at once, in parts, and again and again."""
+    root = options.root.resolve()
     for form in options.form or FORMS:
-        for parts in (1,) if report.short else (1, 10):
-            await play(report, form, parts, options.root.resolve())
+        await play(report, Variant(form, 1, again=False), root)
+        if not report.short or options.form:
+            await play(report, Variant(form, PARTS, again=False), root)
+            await play(report, Variant(form, 1, again=True), root)
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
--- a/harness/flood_clients.py
+++ b/harness/flood_clients.py
@@ -2,7 +2,8 @@
 
     python -m harness.flood_clients --to 127.0.0.1:8081 --form valid --clients 300 --requests 900
 
-The clients read all that they are sent. The program prints one line with the number of responses by status
+The clients read all that they are sent. With --again a client connects and sends the same again as soon as it
+has a response. The program prints one line with the number of responses by status
 code, and ends when all connections have ended or after --seconds.
 """
 
@@ -21,6 +22,7 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.1 (\d{3})")
 SMALL_BODY = b"x" * 100
 LONG_BODY = b"x" * 60_000
+STREAMED_BODY = b"x" * 200_000
 
 
 def get_stock(request_id: str) -> bytes:
@@ -55,6 +57,17 @@
     return post(request_id, f"Content-Length: {len(LONG_BODY)}", LONG_BODY)
 
 
+def post_streamed_body(request_id: str) -> bytes:
+    """Return a valid request whose body is too long to be buffered with its connection."""
+    return post(request_id, f"Content-Length: {len(STREAMED_BODY)}", STREAMED_BODY)
+
+
+def get_long_head(request_id: str) -> bytes:
+    """Return a valid request with many header fields, just below the limits of a head."""
+    fields = "".join(f"x-field-{n:02}: {'v' * 300}\r\n" for n in range(90))
+    return get_stock(request_id)[:-2] + fields.encode() + b"\r\n"
+
+
 def post_chunks(request_id: str) -> bytes:
     """Return a valid request whose body arrives in small chunks."""
     return post(request_id, "Transfer-Encoding: chunked", b"2\r\nab\r\n" * 20 + b"0\r\n\r\n")
@@ -66,15 +79,27 @@
     "local": get_health,
     "small-bodies": post_small_body,
     "long-bodies": post_long_body,
+    "streamed-bodies": post_streamed_body,
+    "long-heads": get_long_head,
     "chunks": post_chunks,
 }
 
 
-async def flood(
-    to: tuple[str, int], number: int, form: str, requests: int, parts: int, codes: Counter[bytes]
+async def flood(to: tuple[str, int], number: int, options: argparse.Namespace, codes: Counter[bytes]) -> None:
+    """Send all requests of one client, once or again and again."""
+    connections = 0
+    await flood_connection(to, f"{number}-{connections}", options, codes)
+    while options.again:
+        connections += 1
+        await flood_connection(to, f"{number}-{connections}", options, codes)
+
+
+async def flood_connection(
+    to: tuple[str, int], name: str, options: argparse.Namespace, codes: Counter[bytes]
 ) -> None:
-    """Send all requests of one client in `parts` writes, and count the responses."""
-    build = FORMS[form]
+    """Send the requests of one connection in parts, and count the responses."""
+    build = FORMS[options.form]
+    requests, parts = options.requests, options.parts
     with contextlib.suppress(OSError):
         reader, writer = await asyncio.open_connection(*to)
 
@@ -82,13 +107,15 @@
             with contextlib.suppress(OSError):
                 for part in range(parts):
                     numbers = range(part * requests // parts, (part + 1) * requests // parts)
-                    writer.write(b"".join(build(f"flood-{number}-{n}") for n in numbers))
+                    writer.write(b"".join(build(f"flood-{name}-{n}") for n in numbers))
                     await writer.drain()
                     await asyncio.sleep(PART_PAUSE_S if parts > 1 else 0)
 
         sending = asyncio.ensure_future(send())
         while block := await reader.read(READ_BYTES):
             codes.update(STATUS_LINE.findall(block))
+            if options.again:
+                break
         sending.cancel()
         writer.transport.abort()
 
@@ -97,10 +124,7 @@
     """Run all clients, and print the number of responses by status code."""
     host, _, port = options.to.rpartition(":")
     codes: Counter[bytes] = Counter()
-    clients = (
-        flood((host, int(port)), number, options.form, options.requests, options.parts, codes)
-        for number in range(options.clients)
-    )
+    clients = (flood((host, int(port)), number, options, codes) for number in range(options.clients))
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(options.seconds):
             await asyncio.gather(*clients)
@@ -115,6 +139,7 @@
     parser.add_argument("--clients", type=int, default=300)
     parser.add_argument("--requests", type=int, default=900, help="requests of each client")
     parser.add_argument("--parts", type=int, default=1, help="number of writes that the requests are sent in")
+    parser.add_argument("--again", action="store_true", help="reconnect after the first response")
     parser.add_argument("--seconds", type=float, default=20.0, help="time limit of the program")
     asyncio.run(run(parser.parse_args()))
 
