A body counts in the pool until its endpoint has accepted it

Cause: a streamed body was handed to the endpoint's transport as a whole, and its share of the body pool released at once, so the bytes were counted nowhere while the endpoint did not read. Two smaller ones: a read took up to 64 KiB into a buffer with less room, and the process itself counted as 20 MB while it takes 27 MB when idle.

Evidence: at the peak the pool counted 4 of 43 MB, the write buffers to the endpoints held 50 MB at the least; sums taken every 20 ms in the process.

Change: one window at a time is handed over, the pool counts the rest. The window is 32 KiB, and a read takes what the buffer has room for. The process counts as 28 MB, and where memory is short the connections of a third of the descriptors fit, fewer of them served. With 192 MB and 1,024 descriptors the limits of connections are the same (521 served, 591 in all), the pool is 41 in place of 43 MB.

--- a/service_proxy/net/block_buffer.py
+++ b/service_proxy/net/block_buffer.py
@@ -53,3 +53,15 @@
         self._blocks = []
         self.size = 0
         return blocks
+
+    def take_first(self, min_bytes: int) -> list[bytes]:
+        """Return the first blocks, with at least this many bytes if there are any more, and remove them."""
+        blocks = self.blocks
+        count = 0
+        taken = 0
+        while count < len(blocks) and taken < min_bytes:
+            taken += len(blocks[count])
+            count += 1
+        self._blocks = blocks[count:]
+        self.size -= taken
+        return blocks[:count]
--- a/service_proxy/net/downstream/http_server.py
+++ b/service_proxy/net/downstream/http_server.py
@@ -39,7 +39,12 @@
 # rejected.
 OVERFLOW_SHARE = 0.12
 MIN_CONNECTIONS = 8
-BASE_MEMORY_MB = 20  # Memory use of the process before it serves requests.
+BASE_MEMORY_MB = 28  # Memory use of the process before it serves requests.
+MIN_FREE_MEMORY_SHARE = 0.25  # Minimum share of the memory limit that counts as free for connections.
+# Share of the descriptors that clients hold at most for requests, by the operators' page.
+CLIENT_DESCRIPTOR_SHARE = 1 / 3
+# Minimum share of the served connections that stay served where the memory leaves room for few connections.
+MIN_SERVED_SHARE = 0.5
 CONNECTION_MEMORY_MB = 0.125  # Memory use limit of a connection: a request with its copy, and a response.
 # Memory use limit of a connection whose requests are rejected: a head, and the input that waits.
 REJECTED_CONNECTION_MEMORY_MB = 0.03
@@ -126,20 +131,35 @@
             + min(RESERVED_DESCRIPTORS, descriptors // RESERVED_DESCRIPTOR_DIVISOR)
             + self.reserved_descriptors
         )
-        free_memory_mb = max(1.0, memory_mb - BASE_MEMORY_MB)
+        free_memory_mb = max(MIN_FREE_MEMORY_SHARE * memory_mb, memory_mb - BASE_MEMORY_MB)
         has_pool = self.max_body_bytes > MAX_BUFFERED_BODY_BYTES
         self.pool_bytes = int(free_memory_mb * BODY_POOL_SHARE * 1e6) if has_pool else 0
-        connections_by_memory = int((free_memory_mb - self.pool_bytes / 1e6) / CONNECTION_MEMORY_MB)
-        connections_by_descriptors = max(MIN_CONNECTIONS, descriptors - other_descriptors)
-        connections = max(MIN_CONNECTIONS, min(connections_by_descriptors, connections_by_memory))
-        overflow = int(connections * OVERFLOW_SHARE)
-        self.max_served_connections = connections - overflow
-        # Where the memory is the limit, more connections than served ones fit into the share of the overflow.
-        overflow_by_memory = int(overflow * CONNECTION_MEMORY_MB / REJECTED_CONNECTION_MEMORY_MB)
-        self.max_connections = min(
-            connections_by_descriptors, self.max_served_connections + overflow_by_memory
+        self._set_connection_limits(
+            free_memory_mb - self.pool_bytes / 1e6,
+            max(MIN_CONNECTIONS, descriptors - other_descriptors),
+            int(descriptors * CLIENT_DESCRIPTOR_SHARE) + 1,
         )
 
+    def _set_connection_limits(self, memory_mb: float, max_by_descriptors: int, clients: int) -> None:
+        """Set the limits of served connections and of all connections.
+
+        Where the memory is the limit, fewer connections are served than fit into it, because the connections
+        of all clients have to fit beside each other, and a rejected one takes less memory than a served one.
+
+        Args:
+            memory_mb: memory of all connections.
+            max_by_descriptors: limit of all connections by the process's descriptors.
+            clients: number of connections that the clients hold at most for requests.
+        """
+        fitting = max(MIN_CONNECTIONS, min(max_by_descriptors, int(memory_mb / CONNECTION_MEMORY_MB)))
+        served = fitting - int(fitting * OVERFLOW_SHARE)
+        rejected_mb = min(clients, max_by_descriptors) * REJECTED_CONNECTION_MEMORY_MB
+        served_beside_all = (memory_mb - rejected_mb) / (CONNECTION_MEMORY_MB - REJECTED_CONNECTION_MEMORY_MB)
+        self.max_served_connections = min(served, int(max(MIN_SERVED_SHARE * served, served_beside_all)))
+        left_mb = memory_mb - self.max_served_connections * CONNECTION_MEMORY_MB
+        rejected = max(int(fitting * OVERFLOW_SHARE), int(left_mb / REJECTED_CONNECTION_MEMORY_MB))
+        self.max_connections = min(max_by_descriptors, self.max_served_connections + rejected)
+
     def add(self, connection: DownstreamConnection) -> None:
         """Register a connection that has just been accepted.
 
--- a/service_proxy/net/downstream/request_reader.py
+++ b/service_proxy/net/downstream/request_reader.py
@@ -28,7 +28,7 @@
 )
 from service_proxy.net.header_fields import closes_connection, parse_field
 from service_proxy.net.limits import MAX_HEADER_FIELDS
-from service_proxy.net.request_body import RequestBody
+from service_proxy.net.request_body import STREAM_WINDOW_BYTES, RequestBody
 from service_proxy.policy.settings_types import Idempotency
 
 MAX_HEAD_BYTES = 32 * 1024  # Size limit of a request's target and headers together.
@@ -275,10 +275,11 @@
         body.pooled_bytes = size
         return True
 
-    def _release_pool(self, body: RequestBody) -> None:
-        """Release a body's share of the server's body pool."""
-        self.server.pooled_bytes -= body.pooled_bytes
-        body.pooled_bytes = 0
+    def _release_pool(self, body: RequestBody, kept_bytes: int = 0) -> None:
+        """Release a body's share of the server's body pool, except for `kept_bytes` at most."""
+        kept_bytes = min(kept_bytes, body.pooled_bytes)
+        self.server.pooled_bytes -= body.pooled_bytes - kept_bytes
+        body.pooled_bytes = kept_bytes
 
     def _drop_body(self) -> None:
         """Drop the arriving body, because its request is rejected."""
@@ -300,11 +301,11 @@
         self.pending_requests.append((self.early_request, self._can_keep_alive()))
 
     def _on_body_drained(self, body: RequestBody) -> None:
-        """Release the share of a body whose buffered part was forwarded, and read on.
+        """Release the share of the part of a body that was forwarded, and read on.
 
         The next request may have begun to arrive by then.
         """
-        self._release_pool(body)
+        self._release_pool(body, max(0, body.content.size - STREAM_WINDOW_BYTES))
         self._update_flow_control()
 
     def _can_keep_alive(self) -> bool:
--- a/service_proxy/net/downstream/turn_reader.py
+++ b/service_proxy/net/downstream/turn_reader.py
@@ -15,10 +15,13 @@
 from service_proxy.net.downstream.input_buffer import ReceivedBytes
 from service_proxy.net.downstream.read_turns import ReadTurns
 from service_proxy.net.downstream.request import BadRequestError, Request
-from service_proxy.net.downstream.request_reader import ReaderServer, RequestReader
+from service_proxy.net.downstream.request_parser import MAX_BUFFERED_BODY_BYTES
+from service_proxy.net.downstream.request_reader import MAX_POOLED_BODY_BYTES, ReaderServer, RequestReader
+from service_proxy.net.request_body import STREAM_WINDOW_BYTES
 from service_proxy.net.socket_polling import has_input
 
 REQUEST_READ_BYTES = 16 * 1024  # Bytes of one read, unless more content of a body is expected.
+MIN_READ_BYTES = 4 * 1024  # Minimum of the bytes that one read may take.
 REJECTED_READ_BYTES = 4 * 1024  # The same for a connection whose requests are rejected.
 MAX_REQUESTS_PER_TURN = 8
 MAX_SLICES_PER_TURN = 256  # Slices of input that are parsed in one turn.
@@ -90,14 +93,31 @@
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 - one buffer serves all connections
         """Return the part of the server's read buffer that this connection may fill at once."""
         read_buffer = self.server.read_buffer
-        body = self.body
         self.read_bytes_limit = REJECTED_READ_BYTES if self.over_limit else REQUEST_READ_BYTES
         if self.head_done and not self.over_limit:
-            # A chunked body is expected to grow by as much as has been received.
-            expected = body.received_bytes if body.length is None else body.length - body.received_bytes
-            self.read_bytes_limit = min(len(read_buffer), max(REQUEST_READ_BYTES, expected))
+            limit = max(self.read_bytes_limit, self._expected_content_bytes)
+            self.read_bytes_limit = min(len(read_buffer), limit, self._body_room_bytes)
         return read_buffer[: self.read_bytes_limit]
 
+    @property
+    def _expected_content_bytes(self) -> int:
+        """Return how many bytes of the arriving body to expect next."""
+        body = self.body
+        # A chunked body is expected to grow by as much as has been received.
+        return body.received_bytes if body.length is None else body.length - body.received_bytes
+
+    @property
+    def _body_room_bytes(self) -> int:
+        """Return the number of bytes that the buffer of the arriving body should grow by at most.
+
+        A body with a share of the server's pool may grow by any number, because the pool counts its bytes.
+        """
+        body = self.body
+        if body.pooled_bytes and body.is_replayable:
+            return MAX_POOLED_BODY_BYTES
+        max_bytes = MAX_BUFFERED_BODY_BYTES if body.is_replayable else STREAM_WINDOW_BYTES
+        return max(MIN_READ_BYTES, max_bytes - body.content.size)
+
     def buffer_updated(self, nbytes: int) -> None:
         """Buffer the bytes that were read, and parse the first request in them unless it has to wait."""
         if self.is_closing or self.discarding_input:
--- a/service_proxy/net/request_body.py
+++ b/service_proxy/net/request_body.py
@@ -11,7 +11,7 @@
 
 from service_proxy.net.block_buffer import BlockBuffer
 
-STREAM_WINDOW_BYTES = 64 * 1024  # Buffer size of a streamed body that waits for the endpoint.
+STREAM_WINDOW_BYTES = 32 * 1024  # Buffer size of a streamed body that waits for the endpoint.
 
 
 def encode_chunk(data: bytes) -> tuple[bytes, bytes, bytes]:
@@ -104,8 +104,19 @@
         self.content.take()
 
     def take_parts(self) -> list[bytes]:
-        """Return all buffered parts of a streamed body, and remove them from the buffer."""
-        parts = self.content.take()
+        """Return the first parts of a streamed body, one window at most, and remove them from the buffer.
+
+        The rest of a longer buffer stays here, where the server's body pool counts it, until the endpoint has
+        accepted these parts.
+        """
+        parts = self.content.take_first(STREAM_WINDOW_BYTES)
         if self.on_drained is not None:
             self.on_drained()
         return parts
+
+    def take_encoded_parts(self) -> list[bytes]:
+        """Return the same as `take_parts`, in chunked transfer coding if the body has no stated length."""
+        parts = self.take_parts()
+        if self.length is not None:
+            return parts
+        return [piece for part in parts for piece in encode_chunk(part)]
--- a/service_proxy/net/upstream/connection.py
+++ b/service_proxy/net/upstream/connection.py
@@ -19,7 +19,7 @@
 from service_proxy.net.http_status import CONTINUE, OK, SWITCHING_PROTOCOLS
 from service_proxy.net.limits import LOOP_ITERATION_S, LOOP_STALL_S, MAX_HEADER_FIELDS, MAX_MESSAGE_BYTES
 from service_proxy.net.protocols import ResponseSink
-from service_proxy.net.request_body import RequestBody, encode_chunk
+from service_proxy.net.request_body import RequestBody
 from service_proxy.net.socket_polling import has_input
 from service_proxy.net.upstream.attempt import AttemptCluster, AttemptPool, UpgradeAttempt, UpstreamAttempt
 from service_proxy.net.upstream.response_framing import MAX_HEAD_BYTES, InvalidResponseError, response_framing
@@ -348,10 +348,8 @@
         if body is None or transport is None or self.write_blocked:
             return
         if not body.is_replayable and body.parts:
-            parts = body.take_parts()
-            if body.length is None:
-                parts = [piece for part in parts for piece in encode_chunk(part)]
-            transport.writelines(parts)
+            while body.parts and not self.write_blocked:
+                transport.writelines(body.take_encoded_parts())
             if attempt is not None:
                 attempt.extend_deadline(time.monotonic() + STALL_TIMEOUT_S)
         if body.is_complete and not body.parts and body.length is None and not body.is_replayable:
--- a/tests/net/test_memory_limits.py
+++ b/tests/net/test_memory_limits.py
@@ -21,6 +21,7 @@
     get_request,
     proxy_under_test,
     respond_ok,
+    response,
     run_async,
 )
 
@@ -32,6 +33,7 @@
 from service_proxy.net.downstream.request import Request, ResponseWriter
 from service_proxy.net.downstream.request_reader import MAX_POOLED_BODY_BYTES
 from service_proxy.net.limits import MAX_MESSAGE_BYTES
+from service_proxy.net.request_body import STREAM_WINDOW_BYTES
 from service_proxy.policy.settings_types import Idempotency
 
 MEMORY_LIMIT_MB = 64  # Limit of the process under test, within the 32 to 192 MB of the operators' page.
@@ -119,6 +121,61 @@
     check_peak_memory(20, send, respond_late)
 
 
+class StuckEndpoint(EndpointServer):
+    """Endpoint that reads the head of each POST and nothing of its body; it serves all other requests."""
+
+    def __init__(self, on_stuck: Callable[[], None]) -> None:
+        super().__init__()
+        self.on_stuck = on_stuck
+
+    async def start(self) -> EndpointServer:
+        """Listen with a small receive buffer, so that the proxy holds what is not read."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+        listener.bind(("127.0.0.1", 0))
+        self.server = await asyncio.start_server(self._serve, sock=listener, limit=16 * 1024)
+        self.address = f"127.0.0.1:{listener.getsockname()[1]}"
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        with contextlib.suppress(asyncio.CancelledError, asyncio.IncompleteReadError, ConnectionError):
+            while not (await reader.readuntil(b"\r\n\r\n")).startswith(b"POST"):
+                writer.write(response(200, b"inflight=0,queue=0"))
+            self.on_stuck()
+            await writer.wait_closed()
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_bodies_for_endpoints_that_read_nothing_keep_the_process_within_its_memory_limit(
+    is_chunked: bool,
+) -> None:
+    """Guards against a body pool that no longer counts what waits in the write buffer of an endpoint."""
+    size = MAX_POOLED_BODY_BYTES + 300_000
+    piece = bytes(1000)
+    body = chunk(piece) * (size // len(piece)) if is_chunked else bytes(size)
+
+    async def test() -> None:
+        is_on_its_way = asyncio.Event()
+        endpoints: dict[str, EndpointServer] = {f"s-{n}": StuckEndpoint(is_on_its_way.set) for n in range(4)}
+        async with proxy_under_test(endpoints, memory_mb=MEMORY_LIMIT_MB) as proxy:
+            clients = []
+            for number in range(30):
+                client = await proxy.connect()
+                head = post_head(f"{number:016x}", None if is_chunked else size + 1, budget="9000m")
+                client.writer.write(head + body)
+                clients.append(client)
+                async with asyncio.timeout(TEST_TIMEOUT_S):
+                    await is_on_its_way.wait()
+                is_on_its_way.clear()
+            assert proxy.process.returncode is None
+            assert process_memory_mb(proxy.process.pid, "VmHWM") <= MEMORY_LIMIT_MB
+            for client in clients:
+                client.writer.transport.abort()
+
+    run_async(test())
+
+
 @pytest.mark.parametrize("size", [1, 2, 16, 100, 5000])
 def test_the_memory_of_a_buffer_does_not_depend_on_the_size_of_its_pieces(size: int) -> None:
     """Guards against a bound on bytes that is passed in memory, on both sides of the proxy."""
@@ -267,7 +324,15 @@
         # The rest of the body arrives, and the next request begins behind it.
         await client.feed(bytes(100_000) + post_head("b" * 16, 10))
         assert server.pooled_bytes >= MAX_POOLED_BODY_BYTES - len(server.read_buffer)
-        assert sum(map(len, body.take_parts())) == size + 100_000
+        share = server.pooled_bytes
+        taken = 0
+        while body.content.size:
+            part_bytes = sum(map(len, body.take_parts()))
+            # What the endpoint has not accepted stays in the buffer, where the pool counts it.
+            assert part_bytes <= STREAM_WINDOW_BYTES + READ_BUFFER_BYTES
+            assert server.pooled_bytes == min(share, max(0, body.content.size - STREAM_WINDOW_BYTES))
+            taken += part_bytes
+        assert taken == size + 100_000
         assert server.pooled_bytes == 0
 
     run_async(test())
