A start that is not known makes no other source's drain void

Cause: the merger ignores reports on earlier processes by their start times, and a sidecar wrote the present time as the start whenever its application became healthy again, register its own start.

Change: a node says with since_after_ms that its start is an estimate and what is proven of it. Only a proven later start makes a report void, and an estimated end only by a start after it was reported. An unready application keeps its start; refused connections begin a new one. An exact start is published rather than an estimate. Nodes of earlier versions are read as before.

Tests: test_an_end_wins_unless_the_other_process_certainly_started_later (432 cases), test_an_end_is_not_that_of_a_process_which_started_after_it, test_an_exact_start_is_published_rather_than_an_estimate; they need the new field and can't run on the code before.

--- a/service_proxy/ephemeral_nodes/endpoint_node.py
+++ b/service_proxy/ephemeral_nodes/endpoint_node.py
@@ -3,9 +3,9 @@
     {"name":"s-5be2a07c","address":"10.1.0.18:8081","zone":"a","type":"m2","group":3,"weight":1.0,
      "since_ms":1764583200000,"status":"Ready"}
 
-The keys have the same meanings as in discovery's endpoint list, and `name` is the name of the znode. Unknown
-keys are ignored, so that a newer sidecar can add keys. docs/operators/ephemeral.md describes the format for
-operators.
+An optional key `since_after_ms` says that `since_ms` is an estimate. The other keys have the same meanings as
+in discovery's endpoint list, and `name` is the name of the znode. Unknown keys are ignored, so that a newer
+sidecar can add keys. docs/operators/ephemeral.md describes the format for operators.
 """
 
 from __future__ import annotations
@@ -25,6 +25,7 @@
 MAX_GROUP = 1 << 31
 MAX_SINCE_MS = 1 << 53  # Largest integer range that a JSON number represents exactly.
 MAX_WEIGHT = 1_000_000
+MS_PER_S = 1000
 READY = "Ready"
 TERMINATING = "Terminating"
 # Unicode categories: control, format, surrogate, private use, line separator and paragraph separator.
@@ -35,7 +36,10 @@
 class EndpointNode:
     """Registration data of one endpoint.
 
-    `since_ms`: start time of the endpoint's process in ms of Unix time; 0: unknown.
+    Attributes:
+        since_ms: start time of the endpoint's process in ms of Unix time; 0: unknown.
+        since_after_ms: time after which the process certainly started, if `since_ms` is an estimate; 0:
+            unknown. None: `since_ms` is exact.
     """
 
     name: str
@@ -46,15 +50,23 @@
     weight: float = 1.0
     since_ms: int = 0
     status: str = READY
+    since_after_ms: int | None = None
 
     def encode(self) -> bytes:
         """Return the JSON data of the znode."""
-        return json.dumps(asdict(self), separators=(",", ":"), ensure_ascii=False).encode()
+        data = asdict(self)
+        if self.since_after_ms is None:
+            del data["since_after_ms"]
+        return json.dumps(data, separators=(",", ":"), ensure_ascii=False).encode()
 
     def draining(self) -> EndpointNode:
         """Return a copy with the status Terminating."""
         return replace(self, status=TERMINATING)
 
+    def restarted(self, since_ms: int, since_after_ms: int) -> EndpointNode:
+        """Return a copy for a process that started at `since_ms`, about, and after `since_after_ms`."""
+        return replace(self, since_ms=since_ms, since_after_ms=since_after_ms)
+
 
 def find_name_problem(name: str) -> str | None:
     """Return the reason why a znode's name can't be an endpoint's name, or None for a valid name."""
@@ -93,6 +105,9 @@
         weight=_read_number(raw, "weight", 1.0, MAX_WEIGHT),
         since_ms=_read_integer(raw, "since_ms", 0, MAX_SINCE_MS),
         status=_read_text(raw, "status", READY),
+        since_after_ms=(
+            _read_integer(raw, "since_after_ms", 0, MAX_SINCE_MS) if "since_after_ms" in raw else None
+        ),
     )
     if parse_address(node.address)[1] == 0:
         raise InvalidNodeError("the address has no port")
@@ -137,4 +152,7 @@
 
     `wall_offset`: wall clock time minus monotonic time, in s.
     """
-    return parse_endpoint(asdict(node), wall_offset)
+    endpoint = parse_endpoint(asdict(node), wall_offset)
+    if node.since_after_ms is not None:
+        endpoint.started_after = max(0.0, node.since_after_ms / MS_PER_S - wall_offset)
+    return endpoint
--- a/service_proxy/ephemeral_nodes/merge_rules.py
+++ b/service_proxy/ephemeral_nodes/merge_rules.py
@@ -2,8 +2,11 @@
 
 The rules, in their order; docs/design/ephemeral.md gives the reasons:
 
-1. Incarnation. A report on a name is outdated, and ignored, if its start time is more than START_TOLERANCE_S
-   older than the newest start time reported for the name. A start time of 0 is unknown and never outdated.
+1. Incarnation. A report on a name is outdated, and ignored, if its start time is exact and another report
+   shows that the name's process certainly started later: by an exact start time, or by the time after which
+   an estimated start took place, with a tolerance of START_TOLERANCE_S. A report with an estimated start
+   is outdated only if it is an end that was reported before that time. A report with an unknown start time
+   (0) is never outdated, and neither an unknown nor an estimated start time outdates another report.
 2. Ends. Among the current reports, an end (draining, gone, session lost) overrides "ready", whichever source
    reported the end and however long ago, until the same source reports "ready" again or a source reports a
    newer incarnation. Absence from a source that never listed the name is not a report.
@@ -82,7 +85,7 @@
         entry.state = EndpointState.SERVING
         if any(report.is_loss_withheld for _, report in reports):
             decision.reason = "its loss is withheld as a probable fault of the source (rule 4)"
-    entry.started_at = max(report.started_at for _, report in reports)
+    entry.started_at = _latest_start(reports)
     _resolve_locations(decision, reports, bool(ends))
     if decision.is_serving:
         substitute = _find_ended_case_variant(index, name, first) or _find_preferred(index, decision)
@@ -92,6 +95,12 @@
     return decision
 
 
+def _latest_start(reports: CurrentReports) -> float:
+    """Return the latest exact start time, or the latest estimate if no source knows the start."""
+    exact = [report.started_at for _, report in reports if report.has_exact_start]
+    return max(exact) if exact else max(report.started_at for _, report in reports)
+
+
 def _explain_end(decision: Decision, ends: CurrentReports, all_agree: bool) -> None:
     """Set the source and the reason of an end (rule 2)."""
     source, report = ends[0]
--- a/service_proxy/ephemeral_nodes/registrar.py
+++ b/service_proxy/ephemeral_nodes/registrar.py
@@ -208,7 +208,10 @@
 
 
 def create_node(registration: Registration, since_ms: int) -> EndpointNode:
-    """Return the data of an endpoint whose process started at `since_ms` (Unix time in ms)."""
+    """Return the data of an endpoint whose process started at about `since_ms` (Unix time in ms).
+
+    The registrar may have started beside a running process, so nothing is known of an earliest start.
+    """
     return EndpointNode(
         registration.name,
         registration.address,
@@ -217,6 +220,7 @@
         registration.group,
         registration.weight,
         since_ms,
+        since_after_ms=0,
     )
 
 
--- a/service_proxy/ephemeral_nodes/source.py
+++ b/service_proxy/ephemeral_nodes/source.py
@@ -20,7 +20,7 @@
 from service_proxy.ephemeral_nodes.children_reader import ChildrenReader
 from service_proxy.ephemeral_nodes.codes import EventType
 from service_proxy.ephemeral_nodes.credentials import read_credentials
-from service_proxy.ephemeral_nodes.endpoint_node import EndpointNode, to_endpoint
+from service_proxy.ephemeral_nodes.endpoint_node import MS_PER_S, EndpointNode, to_endpoint
 from service_proxy.ephemeral_nodes.errors import InvalidSnapshotError
 from service_proxy.ephemeral_nodes.merger import EndpointListMerger
 from service_proxy.ephemeral_nodes.session import Session
@@ -347,6 +347,7 @@
 def to_node(endpoint: Endpoint) -> EndpointNode:
     """Return a list's endpoint converted back to a node, for the snapshot."""
     started_at = endpoint.entry.started_at
+    started_after = endpoint.started_after
     host, port = endpoint.address
     return EndpointNode(
         name=endpoint.name,
@@ -355,5 +356,11 @@
         type=endpoint.entry.endpoint_type,
         group=endpoint.entry.cell,
         weight=endpoint.entry.weight,
-        since_ms=round((started_at + WALL_CLOCK_OFFSET_S) * 1000) if started_at > 0 else 0,
+        since_ms=_to_unix_ms(started_at),
+        since_after_ms=None if started_after is None else _to_unix_ms(started_after),
     )
+
+
+def _to_unix_ms(monotonic_time: float) -> int:
+    """Return a monotonic time (s) in ms of Unix time; 0 stays 0: unknown."""
+    return round((monotonic_time + WALL_CLOCK_OFFSET_S) * MS_PER_S) if monotonic_time > 0 else 0
--- a/service_proxy/ephemeral_nodes/source_reports.py
+++ b/service_proxy/ephemeral_nodes/source_reports.py
@@ -54,6 +54,26 @@
         """Start time of the endpoint's process; 0: unknown."""
         return self.endpoint.entry.started_at
 
+    @property
+    def has_exact_start(self) -> bool:
+        """Whether the start time is known and no estimate."""
+        return self.started_at > 0.0 and self.endpoint.started_after is None
+
+    @property
+    def started_after(self) -> float:
+        """Time after which the endpoint's process certainly started; 0: unknown."""
+        if self.endpoint.started_after is None:
+            return max(0.0, self.started_at - START_TOLERANCE_S)
+        return max(0.0, self.endpoint.started_after - START_TOLERANCE_S)
+
+    def is_of_process_before(self, started_after: float) -> bool:
+        """Return whether the report is on an earlier process than one that started after this time."""
+        if self.has_exact_start:
+            return self.started_at < started_after
+        # The end of a process whose start is an estimate can't be that of a process which started after it.
+        is_estimate = self.endpoint.started_after is not None
+        return is_estimate and self.status in END_STATUSES and self.since < started_after
+
 
 @dataclass(slots=True)
 class SourceView:
@@ -127,12 +147,8 @@
             for source in self.sources.values()
             if source.health is health and (report := source.reports.get(name)) is not None
         ]
-        newest = max((report.started_at for _, report in found), default=0.0)
-        return [
-            (source, report)
-            for source, report in found
-            if report.started_at == 0.0 or report.started_at >= newest - START_TOLERANCE_S
-        ]
+        newest = max((report.started_after for _, report in found), default=0.0)
+        return [(source, report) for source, report in found if not report.is_of_process_before(newest)]
 
     def source_rank(self, name: str) -> int:
         """Return the position in the source order of the name's first report by rule 5."""
--- a/service_proxy/net/endpoint_list.py
+++ b/service_proxy/net/endpoint_list.py
@@ -45,11 +45,17 @@
 
 @dataclass(slots=True)
 class Endpoint:
-    """One endpoint of a list: its address, its name, and the entry passed to the policy."""
+    """One endpoint of a list: its address, its name, and the entry passed to the policy.
+
+    Attributes:
+        started_after: Time after which its process certainly started (monotonic, s), if the start time of the
+            entry is an estimate; 0: unknown. None: the start time of the entry is exact.
+    """
 
     address: Address
     entry: EndpointEntry
     name: str
+    started_after: float | None = None
 
 
 @dataclass(slots=True)
--- a/service_proxy/sidecar/admission.py
+++ b/service_proxy/sidecar/admission.py
@@ -86,6 +86,8 @@
         SIGNAL.BROKEN: STATE.DOWN,
     },
 }
+# Signals that the application has answered.
+ANSWERS = frozenset((ApplicationSignal.HEALTHY, ApplicationSignal.UNHEALTHY))
 # States in which new requests are sent to the application.
 ACCEPTING_STATES = frozenset((ApplicationState.UP, ApplicationState.SUSPECT))
 
@@ -132,6 +134,10 @@
         self.mean_latency = MIN_RETRY_AFTER_S  # smoothed, in seconds
         self.warming_up_since = float("-inf")  # time at which the last slow start began
         self.was_down_while_starting = False  # true if the application started after the sidecar
+        self.restarts = 0  # starts of the application that were detected
+        self.last_answer_at = float("-inf")  # time of the last answered health check
+        # Time after which the application certainly started; minus infinity: unknown.
+        self.started_after = float("-inf")
         # True if the application may have restarted between two health checks.
         self.all_connections_broke = False
 
@@ -151,10 +157,19 @@
                 or (before is ApplicationState.STARTING and self.was_down_while_starting)
             )
             if has_restarted:
-                self.warming_up_since = now
+                self._record_restart(before, now)
             self.all_connections_broke = False
+        if signal in ANSWERS:
+            self.last_answer_at = now
         return self.state
 
+    def _record_restart(self, before: ApplicationState, now: float) -> None:
+        """Record that the application may have started again; `before` is its state before."""
+        self.warming_up_since = now
+        self.restarts += 1
+        # Only refused connections prove that the process which answered before has ended.
+        self.started_after = self.last_answer_at if before is ApplicationState.DOWN else float("-inf")
+
     def on_connection_broken(self, other_connections: int, now: float) -> ApplicationState:
         """Apply the end of a connection during a request, while `other_connections` are open.
 
--- a/service_proxy/sidecar/running.py
+++ b/service_proxy/sidecar/running.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import logging
 import resource
 import secrets
@@ -17,7 +16,7 @@
 import sys
 import time
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, NamedTuple
 
 import uvloop
 
@@ -47,11 +46,19 @@
 log = logging.getLogger("service_proxy.sidecar")
 
 RESPONSE_MARGIN_S = 0.4  # the last responses are sent this long before SIGKILL
+MS_PER_S = 1000
 MAX_LOGGED_FINDINGS = 3  # findings per log line
 # Keys that a reload on SIGHUP can change.
 RELOADABLE_KEYS = frozenset(("padron", "slots", "waiting", "health"))
 
 
+class StartEstimate(NamedTuple):
+    """Latest and earliest possible start of the application in ms of Unix time; earliest 0: unknown."""
+
+    since_ms: int
+    since_after_ms: int
+
+
 class DescriptionRejectedError(Exception):
     """Error: the description has findings of the checks, so it can't be run."""
 
@@ -176,19 +183,24 @@
         """Keep the endpoint's ephemeral node up to date.
 
         The node is created once the application is healthy. Its status is Terminating while the application
-        does not accept requests. When the application accepts requests again, the node has a new start time.
+        does not accept requests. The node has a new start time after the application has restarted.
         """
         assert self.registrar is not None
         inbound = self.inbound
         node = self.registrar.node
         registrar_started = False
         is_ready = False
+        restarts = 0
         while True:
             inbound.state_changed.clear()
             state = inbound.admission.state
-            if state is ApplicationState.UP and not is_ready:
-                since_ms = int(time.time() * 1000) if registrar_started else node.since_ms
-                self.registrar.update(dataclasses.replace(node, since_ms=since_ms))
+            has_restarted = inbound.admission.restarts != restarts
+            if state is ApplicationState.UP and (has_restarted or not is_ready):
+                if has_restarted:
+                    restarts = inbound.admission.restarts
+                    start = self._estimate_start()
+                    node = node.restarted(start.since_ms, start.since_after_ms)
+                self.registrar.update(node)
                 if not registrar_started:
                     self.registrar.start()
                 registrar_started = True
@@ -198,6 +210,13 @@
                 is_ready = False
             await inbound.state_changed.wait()
 
+    def _estimate_start(self) -> StartEstimate:
+        """Return when the application, which has restarted and answers now, may have started."""
+        started_after = self.inbound.admission.started_after
+        wall_time = time.time()
+        earliest = wall_time - (time.monotonic() - started_after) if started_after > 0 else 0.0
+        return StartEstimate(int(wall_time * MS_PER_S), int(earliest * MS_PER_S))
+
     def reload(self, description: Description, sidecar: Sidecar) -> list[str]:
         """Apply a reloaded description, and return the changed keys that can't change while the sidecar runs.
 
--- a/tests/ephemeral_nodes/test_merger.py
+++ b/tests/ephemeral_nodes/test_merger.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -173,6 +175,78 @@
     assert harness.states()["s-1"] is DRAINING  # An unknown start time is never outdated.
 
 
+STARTS = {
+    "unknown": (0.0, None),
+    "exact": (100.0, None),
+    "newer": (200.0, None),
+    "estimate": (200.0, 0.0),
+    "estimate after the exact one": (200.0, 150.0),
+    "estimate around the exact one": (200.0, 50.0),
+}
+# Pairs (start in the report of the end, start in the report of the ready endpoint) of provably different
+# processes, of which the end is the earlier one.
+ENDS_OF_EARLIER_PROCESSES = {("exact", "newer"), ("exact", "estimate after the exact one")}
+
+
+@pytest.mark.parametrize("ready_start", STARTS)
+@pytest.mark.parametrize("end_start", STARTS)
+@pytest.mark.parametrize("end", [DRAINING, GONE, ReportedStatus.LOST])
+@pytest.mark.parametrize("sources", [(MEMBERSHIP, DISCOVERY), (DISCOVERY, MEMBERSHIP)])
+@pytest.mark.parametrize("end_comes_last", [True, False])
+def test_an_end_wins_unless_the_other_process_certainly_started_later(
+    end_comes_last: bool,
+    sources: tuple[str, str],
+    end: EndpointState | ReportedStatus,
+    end_start: str,
+    ready_start: str,
+) -> None:
+    """Guards against a drain that is ignored because a registrar does not know when its server started."""
+    end_source, ready_source = sources
+    harness = MergerWithConsumer("s-2", "s-3", "s-4")
+    harness.now = 300.0
+
+    def report_end() -> None:
+        reported = replace(entry("s-1", start=STARTS[end_start][0]), started_after=STARTS[end_start][1])
+        harness.update(end_source, reported)
+        if end is ReportedStatus.LOST:
+            harness.report_lost("s-1", source=end_source)
+        else:
+            assert isinstance(end, EndpointState)
+            harness.update(end_source, replace(reported, entry=replace(reported.entry, state=end)))
+
+    def report_ready() -> None:
+        started_at, started_after = STARTS[ready_start]
+        harness.update(ready_source, replace(entry("s-1", start=started_at), started_after=started_after))
+
+    for report in (report_ready, report_end) if end_comes_last else (report_end, report_ready):
+        report()
+    is_of_earlier_process = (end_start, ready_start) in ENDS_OF_EARLIER_PROCESSES
+    assert ("s-1" in harness.serving()) == is_of_earlier_process
+
+
+def test_an_end_is_not_that_of_a_process_which_started_after_it() -> None:
+    """Guards against a server that stays draining for ever, because it has no registrar any more."""
+    harness = MergerWithConsumer("s-2", "s-3", "s-4")
+    harness.now = 300.0
+    harness.update(MEMBERSHIP, replace(entry("s-1", start=200.0), started_after=0.0))
+    harness.update(DISCOVERY, entry("s-1", start=100.0))
+    harness.report_lost("s-1")
+    harness.collect_changes(10.0)
+    assert harness.states()["s-1"] is DRAINING
+    harness.update(DISCOVERY, entry("s-1", start=300.0 + START_TOLERANCE_S))
+    assert harness.states()["s-1"] is DRAINING
+    harness.update(DISCOVERY, entry("s-1", start=301.0 + START_TOLERANCE_S))
+    assert harness.states()["s-1"] is READY
+
+
+def test_an_exact_start_is_published_rather_than_an_estimate() -> None:
+    """Guards against a slow start of a warm endpoint whose registrar has restarted."""
+    harness = MergerWithConsumer("s-2")
+    harness.update(MEMBERSHIP, replace(entry("s-1", start=500.0), started_after=0.0))
+    harness.update(DISCOVERY, entry("s-1", start=100.0))
+    assert harness.states()["s-1"] is READY and harness.published["s-1"].entry.started_at == 100.0
+
+
 @pytest.mark.parametrize("source", [MEMBERSHIP, DISCOVERY])
 def test_draining_overrides_ready_whichever_source_reports_it(source: str) -> None:
     harness = MergerWithConsumer("s-1")
--- a/tests/sidecar/test_run.py
+++ b/tests/sidecar/test_run.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import contextlib
+import json
 import signal
 import sys
+import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -363,6 +365,10 @@
                     return ""
                 return "Terminating" if b"Terminating" in node.data else "Ready"
 
+            def start() -> tuple[int, int]:
+                data = json.loads(service.tree.nodes[path].data)
+                return data["since_ms"], data["since_after_ms"]
+
             await application.health_checked.wait()
             assert status() == ""
             application.health_check_result = True
@@ -372,8 +378,18 @@
             await until(lambda: status() == "Terminating", "drains with its application")
             application.health_check_result = True
             await until(lambda: status() == "Ready", "registered again")
+            # It is the same process, so a drain that discovery reports of it stays valid.
+            assert service.tree.nodes[path].data == first_data
+            first_since_ms, first_since_after_ms = start()
+            assert first_since_after_ms == 0
+            await application.stop()
+            await until(lambda: status() == "Terminating", "drains when nobody listens")
+            ended_at = time.time() * 1000
+            await application.start()
+            await until(lambda: status() == "Ready", "registered after a restart")
             # The new start time makes clients treat the endpoint as warming up.
-            assert service.tree.nodes[path].data != first_data
+            since_ms, since_after_ms = start()
+            assert first_since_ms <= since_after_ms <= ended_at <= since_ms
             sidecar.process.terminate()
             await until(lambda: status() == "Terminating", "says that it leaves")
             assert await sidecar.exit_code() == 0
