Maintenance is stored before it is confirmed

Cause: the answer waited for the record in $TMPDIR, the store got it up to 0.3 s later.

Change: with a store, maint and ready are answered when the store has the change on its disk, off the event loop and within 1 s, otherwise 503 with the reason. The admin server can answer a request later; such a connection is not closed to make room.

--- a/service_proxy/admin/routes.py
+++ b/service_proxy/admin/routes.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Coroutine
 from http import HTTPStatus
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 from urllib.parse import unquote_to_bytes
 
 MAX_NAME_BYTES = 256  # bytes of an endpoint's name in a path, after percent-decoding
@@ -23,6 +24,9 @@
     text: str
 
 
+# Response to a request, which may depend on something that takes time, such as a disk.
+AdminReply = AdminResponse | Coroutine[Any, Any, AdminResponse]
+
 USE_GET = AdminResponse(HTTPStatus.METHOD_NOT_ALLOWED, "this is asked with GET\n")
 USE_POST = AdminResponse(HTTPStatus.METHOD_NOT_ALLOWED, "this is asked with POST\n")
 UNKNOWN_ENDPOINT = AdminResponse(HTTPStatus.NOT_FOUND, "no such backend\n")
@@ -41,14 +45,14 @@
     def stats(self) -> AdminResponse:
         """Return the metrics of this process."""
 
-    def start_maintenance(self, name: str) -> AdminResponse:
+    def start_maintenance(self, name: str) -> AdminReply:
         """Drain the endpoint `name` until `end_maintenance` is called."""
 
-    def end_maintenance(self, name: str) -> AdminResponse:
+    def end_maintenance(self, name: str) -> AdminReply:
         """Reinstate the endpoint `name`."""
 
 
-def route(handler: AdminHandler, method: bytes, target: bytes) -> AdminResponse:
+def route(handler: AdminHandler, method: bytes, target: bytes) -> AdminReply:
     """Return the response of `handler` to one request, or an error response if no route matches."""
     path = target.partition(b"?")[0]
     parts = path.split(b"/")[1:] if path.startswith(b"/") else []
@@ -63,7 +67,7 @@
     return UNKNOWN_PATH
 
 
-def _route_endpoint_action(handler: AdminHandler, name: bytes, action: bytes) -> AdminResponse:
+def _route_endpoint_action(handler: AdminHandler, name: bytes, action: bytes) -> AdminReply:
     if not 0 < len(name) <= MAX_NAME_BYTES:
         return UNKNOWN_ENDPOINT
     text = name.decode("utf-8", "replace")
--- a/service_proxy/admin/server.py
+++ b/service_proxy/admin/server.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Coroutine
 from http import HTTPStatus
 from typing import Any, cast
 
@@ -41,6 +42,7 @@
         self.target = b""
         self.received_bytes = 0
         self.response: AdminResponse | None = None
+        self.pending_response: asyncio.Task[None] | None = None  # the request is complete, the response not
         self.phase_started_at = 0.0  # monotonic, s: time of the accept, later of the response
 
     # asyncio.Protocol
@@ -58,7 +60,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the request, and answer it once it is complete or can no longer be completed."""
-        if self.response is not None:
+        if self.has_request:
             return  # data after the request is read, so that the response arrives, and is discarded
         self.received_bytes += len(data)
         try:
@@ -66,6 +68,8 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if self.response is None:
                 self.response = MALFORMED_REQUEST
+        if self.pending_response is not None:
+            return
         if self.response is None and self.received_bytes > MAX_REQUEST_BYTES:
             self.response = REQUEST_TOO_LARGE
         if self.response is not None:
@@ -78,13 +82,26 @@
 
     def on_message_complete(self) -> None:
         """Route the request; a second request on the connection is ignored."""
-        if self.response is not None:
+        if self.has_request:
             return
         try:
-            self.response = route(self.server.handler, self.parser.get_method(), self.target)
+            reply = route(self.server.handler, self.parser.get_method(), self.target)
+        except Exception:
+            log.exception("admin_request_failed target=%.200r", self.target)
+            reply = INTERNAL_ERROR
+        if isinstance(reply, AdminResponse):
+            self.response = reply
+        else:
+            self.pending_response = self.server.loop.create_task(self._send_later(reply))
+
+    async def _send_later(self, reply: Coroutine[Any, Any, AdminResponse]) -> None:
+        """Send a response that takes time."""
+        try:
+            self.response = await reply
         except Exception:
             log.exception("admin_request_failed target=%.200r", self.target)
             self.response = INTERNAL_ERROR
+        self._send(self.response)
 
     def _send(self, response: AdminResponse) -> None:
         if self.transport is None:
@@ -99,6 +116,11 @@
         self.phase_started_at = time.monotonic()
         self.transport.close()
 
+    @property
+    def has_request(self) -> bool:
+        """Whether a complete request was received."""
+        return self.response is not None or self.pending_response is not None
+
     def abort(self) -> None:
         """Close the connection at once."""
         if self.transport is not None:
@@ -144,7 +166,7 @@
         """Add a new connection; at MAX_CONNECTIONS close the oldest connection without a complete request."""
         if len(self.connections) >= MAX_CONNECTIONS:
             first = next(iter(self.connections))
-            oldest = next((other for other in self.connections if other.response is None), first)
+            oldest = next((other for other in self.connections if not other.has_request), first)
             del self.connections[oldest]
             oldest.abort()
         self.connections[connection] = None
--- a/service_proxy/admin/service.py
+++ b/service_proxy/admin/service.py
@@ -11,7 +11,7 @@
 import logging
 import tempfile
 import time
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
 from pathlib import Path
 
@@ -20,7 +20,7 @@
 from service_proxy.admin.maintenance import MaintenanceOverlay
 from service_proxy.admin.metrics import Metrics
 from service_proxy.admin.process_generations import ProcessGenerations
-from service_proxy.admin.routes import UNKNOWN_ENDPOINT, AdminResponse
+from service_proxy.admin.routes import UNKNOWN_ENDPOINT, AdminReply, AdminResponse
 from service_proxy.admin.server import MAX_CONNECTIONS, AdminServer
 from service_proxy.admin.settings_update import TRANSITION_S, parse_update, transitional_settings
 from service_proxy.admin.shared_record import SharedRecord
@@ -49,6 +49,8 @@
 PATH_DIGEST_BYTES = 8
 OK = AdminResponse(HTTPStatus.OK, "ok\n")
 NOT_READY = AdminResponse(HTTPStatus.SERVICE_UNAVAILABLE, "not ready\n")
+# The maintenance is in effect, but a crash of the machine may end it.
+NOT_STORED = AdminResponse(HTTPStatus.SERVICE_UNAVAILABLE, "the store could not be written, ask again\n")
 RECORD_NOT_WRITTEN = AdminResponse(HTTPStatus.SERVICE_UNAVAILABLE, "the record could not be written\n")
 
 
@@ -68,6 +70,10 @@
 
     The service owns the admin server, the maintenance overlay with its shared record, the metrics, and this
     process's generation. Raises OSError if $TMPDIR can't be written.
+
+    Attributes:
+        store_maintenance: stores which endpoints are in maintenance, and returns whether the store has done
+            so within a bounded time; None: there is no store.
     """
 
     file_descriptors = MAX_CONNECTIONS + 1  # descriptors of the admin server
@@ -81,6 +87,7 @@
             self.metrics.add_request_class(cls.name)
         self.maintenance_record = SharedRecord(shared_file_path(config, "maintenance"))
         self.generations = ProcessGenerations(shared_file_path(config, "process"))
+        self.store_maintenance: Callable[[], Awaitable[bool]] | None = None
         self.other_process_runs = False  # whether another process of this proxy runs
         self.server = AdminServer(self)
         self.dispatcher: RequestDispatcher | None = None
@@ -175,16 +182,16 @@
         counters = {"backend_calls": dispatcher.cluster.attempts_sent}
         return AdminResponse(HTTPStatus.OK, self.metrics.render(gauges, counters))
 
-    def start_maintenance(self, name: str) -> AdminResponse:
+    def start_maintenance(self, name: str) -> AdminReply:
         """Drain an endpoint, in this process and in the processes that share the record."""
         return self._change_maintenance(name, ends=False)
 
-    def end_maintenance(self, name: str) -> AdminResponse:
+    def end_maintenance(self, name: str) -> AdminReply:
         """Reinstate an endpoint, in this process and in the processes that share the record."""
         return self._change_maintenance(name, ends=True)
 
-    def _change_maintenance(self, name: str, ends: bool) -> AdminResponse:
-        """Change maintenance; a record written before the response makes the change outlive this process."""
+    def _change_maintenance(self, name: str, ends: bool) -> AdminReply:
+        """Change maintenance; what is written before the response makes the change outlive this process."""
         # Without this read, a change that another process wrote a moment ago would be undone.
         self._read_maintenance_record()
         now = time.time()
@@ -199,7 +206,15 @@
         except OSError as error:
             log.error("maintenance_record_write_failed endpoint=%s error=%s", name, error)
             return RECORD_NOT_WRITTEN
-        return OK
+        return OK if self.store_maintenance is None else self._confirm_stored(name, self.store_maintenance)
+
+    @staticmethod
+    async def _confirm_stored(name: str, store_maintenance: Callable[[], Awaitable[bool]]) -> AdminResponse:
+        """Return OK once the maintenance is stored, or an error if the store can't be written."""
+        if await store_maintenance():
+            return OK
+        log.error("maintenance_not_stored endpoint=%s", name)
+        return NOT_STORED
 
     def _read_maintenance_record(self) -> None:
         """Apply the maintenance that was requested from another process of this proxy."""
--- a/service_proxy/composition.py
+++ b/service_proxy/composition.py
@@ -155,6 +155,7 @@
         recovery.attach(dispatcher, apply_list, fleet, fleet, fleet)
         if admin is not None:
             recovery.current_maintenance = lambda: admin.maintenance.in_maintenance
+            admin.store_maintenance = recovery.store_maintenance
         dispatcher.on_attempt_outcome = recovery.on_attempt_end
         dispatcher.adjust_retry_after = recovery.retry_after
         self.subsystems.append(recovery)
--- a/service_proxy/recovery/async_store_writer.py
+++ b/service_proxy/recovery/async_store_writer.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import threading
 from collections.abc import Callable
@@ -37,6 +38,7 @@
 FLUSH_INTERVAL_S = 0.05
 # Interval between two attempts to write to a failing disk or to lock a store that another process has locked.
 RETRY_INTERVAL_S = 5.0
+DURABILITY_POLL_S = 0.01  # Interval at which an event loop looks whether the thread has written its records.
 SHUTDOWN_TIMEOUT_S = 2.0  # Longest wait for the last batch when the process ends.
 # Records that stay in memory while the disk fails. The sum of the bounds of all kinds is lower.
 MAX_PENDING_RECORDS = 100_000
@@ -118,6 +120,16 @@
         with self.changed:
             return self.changed.wait_for(self._is_all_durable, timeout)
 
+    async def flush(self, timeout: float) -> bool:
+        """Wait, for `timeout` s at most, and return whether the operations submitted so far are durable."""
+        loop = asyncio.get_running_loop()
+        submitted_count = self.submitted_count
+        give_up_at = loop.time() + timeout
+        while self.durable_count < submitted_count and loop.time() < give_up_at:
+            await asyncio.sleep(DURABILITY_POLL_S)
+        # A rejected store takes no operations.
+        return self.durable_count >= submitted_count and self.health is not StoreHealth.REJECTED
+
     def _is_all_durable(self) -> bool:
         is_written = not self.pending and self.durable_count == self.submitted_count
         return self.health is StoreHealth.OPEN and is_written
--- a/service_proxy/recovery/service.py
+++ b/service_proxy/recovery/service.py
@@ -51,6 +51,7 @@
 log = logging.getLogger("service_proxy.recovery")
 
 TICK_S = 0.25  # Interval of the timer that queries peers, checks endpoints and advances the phase.
+MAINTENANCE_STORE_TIMEOUT_S = 1.0  # Longest wait for the store before staff get an answer.
 CONNECTION_FAILURES = (AttemptStatus.CONNECT_FAILED, AttemptStatus.RESET)
 # Results of attempts that don't show whether the endpoint works.
 INCONCLUSIVE = (AttemptStatus.NOT_SENT, AttemptStatus.CANCELLED, AttemptStatus.TIMEOUT)
@@ -243,6 +244,13 @@
         """Return the Retry-After (s) of a rejection: the policy's, or a longer one during the recovery."""
         return self.filter.retry_after(wait)
 
+    async def store_maintenance(self) -> bool:
+        """Record which endpoints are in maintenance; return whether the store has it within a second."""
+        if self.recorder is None or self.current_maintenance is None:
+            return True
+        self.recorder.record_maintenance(self.current_maintenance())
+        return await self.recorder.writer.flush(MAINTENANCE_STORE_TIMEOUT_S)
+
     # Timer callbacks.
 
     def _tick(self) -> None:
--- a/tests/admin/test_admin_server.py
+++ b/tests/admin/test_admin_server.py
@@ -14,6 +14,7 @@
 import pytest
 from net_harness import (
     LONG_TIME_BUDGET,
+    PROGRAM,
     TEST_TIMEOUT_S,
     DiscoveryServer,
     EndpointServer,
@@ -35,6 +36,9 @@
 from service_proxy.admin.metrics import Metrics
 from service_proxy.admin.routes import AdminResponse, route
 from service_proxy.admin.server import MAX_CONNECTIONS
+from service_proxy.admin.service import NOT_STORED
+from service_proxy.recovery.store import read_store
+from service_proxy.recovery.store_directory import StoreDirectory
 
 
 class ProxyWithAdmin(ProxyUnderTest):
@@ -73,7 +77,10 @@
 
 @contextlib.asynccontextmanager
 async def proxy_with_admin(
-    endpoint_servers: dict[str, EndpointServer], discovery: DiscoveryServer, **changes: Any
+    endpoint_servers: dict[str, EndpointServer],
+    discovery: DiscoveryServer,
+    operator_file: str = "",
+    **changes: Any,
 ) -> AsyncIterator[ProxyWithAdmin]:
     for endpoint_server in endpoint_servers.values():
         await endpoint_server.start()
@@ -89,7 +96,12 @@
     with tempfile.TemporaryDirectory() as folder:
         raw = config(discovery.address, known, f"127.0.0.1:{listen}", **changes)
         raw["console"] = f"127.0.0.1:{console}"
-        process = await start_proxy(raw, folder, TMPDIR=folder)
+        program: tuple[str, ...] = PROGRAM
+        if operator_file:
+            path = Path(folder) / "operator.toml"
+            path.write_text(operator_file)
+            program += ("--operator", str(path))
+        process = await start_proxy(raw, folder, program, TMPDIR=folder)
         try:
             await wait_until_ready(("127.0.0.1", listen))
             running_proxy = ProxyWithAdmin(process, ("127.0.0.1", listen), Path(folder) / "config.json", raw)
@@ -145,7 +157,8 @@
     method: bytes, target: bytes, code: int, handled: list[str]
 ) -> None:
     handler = RecordingHandler()
-    assert route(handler, method, target).status == code
+    reply = route(handler, method, target)
+    assert isinstance(reply, AdminResponse) and reply.status == code
     assert handler.requests == handled
 
 
@@ -283,6 +296,43 @@
     run_async(test())
 
 
+@pytest.mark.parametrize("action", ["maint", "ready"])
+def test_maintenance_is_stored_before_it_is_confirmed(tmp_path: Path, action: str) -> None:
+    """Guards against a confirmed maintenance that a crash undoes, because it is not on the disk yet."""
+
+    async def test() -> None:
+        discovery = await DiscoveryServer().start()
+        servers = {"s-1": EndpointServer(), "s-2": EndpointServer()}
+        operator_file = f'[recovery]\nstore = "{tmp_path}"\n'
+        async with proxy_with_admin(servers, discovery, operator_file, **long_timeout_settings()) as proxy:
+            if action == "ready":
+                assert (await proxy.admin("POST /backends/s-1/maint")).status_code == 200
+            assert (await proxy.admin(f"POST /backends/s-1/{action}")).status_code == 200
+            proxy.process.kill()
+            await proxy.process.wait()
+        stored = read_store(StoreDirectory(tmp_path), None).state.tables["maintenance"]
+        assert set(stored) == ({"s-1"} if action == "maint" else set())
+
+    run_async(test())
+
+
+def test_maintenance_is_not_confirmed_if_the_store_fails(tmp_path: Path) -> None:
+    """Guards against a wait without end for a disk that fails, and against a false confirmation."""
+
+    async def test() -> None:
+        discovery = await DiscoveryServer().start()
+        (tmp_path / "file").write_text("")
+        operator_file = f'[recovery]\nstore = "{tmp_path}/file/store"\n'
+        servers = {"s-1": EndpointServer(), "s-2": EndpointServer()}
+        async with proxy_with_admin(servers, discovery, operator_file, **long_timeout_settings()) as proxy:
+            reply = await proxy.admin("POST /backends/s-1/maint")
+            assert (reply.status_code, reply.body) == (503, NOT_STORED.text.encode())
+            # The maintenance is in effect.
+            assert (await proxy.metrics())["hosts_down"] == 1
+
+    run_async(test())
+
+
 def request_classes(**changes: Any) -> list[dict[str, Any]]:
     classes: list[dict[str, Any]] = long_timeout_settings()["grades"]
     for request_class in classes:
