Polls of former discovery addresses are used until the current one has answered

Cause: each new address cancelled the poll of the one before, whose answer was due.

Change: at a change of address the polls in flight go on, of four former addresses at most. A list is applied unless a later address has sent one before; the version stays unknown until the current address has sent one.

--- a/service_proxy/net/discovery.py
+++ b/service_proxy/net/discovery.py
@@ -12,6 +12,7 @@
 import logging
 import math
 import time
+from collections import deque
 from collections.abc import Callable
 from random import Random
 
@@ -26,6 +27,7 @@
 # Minimum time between the starts of two watch polls; limits the poll rate if discovery answers immediately.
 MIN_WATCH_SPACING_S = 0.05
 MAX_LOGGED_ERROR_CHARS = 200
+MAX_FORMER_ADDRESSES = 4  # Former addresses whose polls stay in flight.
 LIST_PATH = "/v1/servers"
 
 # Difference between wall clock and monotonic clock, read once: an unchanged since_ms must yield the same
@@ -65,7 +67,12 @@
         self.on_list = on_list
         self.on_failed = on_failed
         self._watch_task: asyncio.Task[None] | None = None
+        self._watch_polls: PollsInFlight | None = None  # Polls of the watch, to the current address.
         self._fetch_tasks: set[asyncio.Task[None]] = set()
+        # Tasks that wait for the polls of former addresses, the oldest first.
+        self._former_polls: deque[asyncio.Task[None]] = deque()
+        self._address_number = 0  # Number of changes of the address.
+        self._listed_number = 0  # Number of the address that sent the last list.
 
     def start(self) -> None:
         """Start the watch if lists are pushed.
@@ -98,15 +105,37 @@
     def change_address(self, address: Address) -> None:
         """Poll another service from now on.
 
-        Responses of the old service are ignored. The versions of the two services are not comparable, so the
-        watch requests the whole list at once, and changes after that.
+        Responses of the old service are used until the new one has sent a list: if the address changes again
+        before a slow service can respond, no list would arrive otherwise. The versions of the two services
+        are not comparable, so the watch requests the whole list at once, and changes after that.
         """
-        self.stop()
-        self._watch_task = None
+        polls, self._watch_polls = self._watch_polls, None
+        if self._watch_task is not None:
+            self._watch_task.cancel()
+            self._watch_task = None
+        if polls is not None:
+            self._keep_former_polls(polls)
         self.address = address
         self.version = None
+        self._address_number += 1
         self.watch(True)
 
+    def _keep_former_polls(self, polls: PollsInFlight) -> None:
+        """Wait for the polls of the address that is about to change."""
+        former = self._run_former_polls(polls, self._address_number)
+        self._former_polls.append(asyncio.get_running_loop().create_task(former))
+        while len(self._former_polls) > MAX_FORMER_ADDRESSES:
+            self._former_polls.popleft().cancel()
+
+    async def _run_former_polls(self, polls: PollsInFlight, address_number: int) -> None:
+        """Apply the list of a former address, unless a later address has sent one meanwhile."""
+        try:
+            outcome = await polls.first_outcome(self.schedule.late_answer_time)
+            if not isinstance(outcome, Exception):
+                self._apply(outcome, address_number)
+        finally:
+            polls.close()
+
     def fetch(self) -> None:
         """Start one poll for the whole list."""
         task = asyncio.get_running_loop().create_task(self._run_fetch())
@@ -115,7 +144,7 @@
 
     def stop(self) -> None:
         """Cancel all polls."""
-        for task in (self._watch_task, *self._fetch_tasks):
+        for task in (self._watch_task, *self._fetch_tasks, *self._former_polls):
             if task is not None:
                 task.cancel()
 
@@ -124,7 +153,7 @@
 
         The policy decides about a new watch.
         """
-        polls = PollsInFlight(self._poll)
+        polls = self._watch_polls = PollsInFlight(self._poll)
         loop = asyncio.get_running_loop()
         try:
             started_at = loop.time()
@@ -133,7 +162,9 @@
                 started_at = loop.time()
             self.on_failed()
         finally:
-            polls.close()
+            if self._watch_polls is polls:  # Otherwise the address has changed, and the polls go on.
+                self._watch_polls = None
+                polls.close()
 
     async def _receive_list(self, polls: PollsInFlight) -> bool:
         """Poll until a list arrives; return False if a poll fails outside the retry window.
@@ -152,7 +183,7 @@
             schedule = self.schedule
             target, patience = self._next_poll(schedule, can_wait)
             poll = polls.start(target, patience + schedule.late_answer_time, schedule.max_polls)
-            error = self._apply(await polls.first_outcome(patience, poll))
+            error = self._apply(await polls.first_outcome(patience, poll), self._address_number)
             if error is None:
                 return True
             timed_out = isinstance(error, TimeoutError)
@@ -170,7 +201,7 @@
             failures += 1
             if not timed_out:
                 backoff = schedule.draw_backoff(failures, self.random.random())
-                if self._apply(await polls.first_outcome(backoff)) is None:
+                if self._apply(await polls.first_outcome(backoff), self._address_number) is None:
                     return True
 
     def _next_poll(self, schedule: PollSchedule, can_wait: bool) -> tuple[str, float]:
@@ -186,12 +217,13 @@
 
     async def _run_fetch(self) -> None:
         connection = DiscoveryConnection()
+        address_number = self._address_number
         try:
             endpoint_list = await self._poll(connection, LIST_PATH, self.schedule.first_list_timeout)
         except Exception:  # noqa: BLE001 - any error ends only this poll, which has logged the error
             self.on_failed()
         else:
-            if self._apply(endpoint_list) is not None:
+            if self._apply(endpoint_list, address_number) is not None:
                 self.on_failed()
         finally:
             connection.close()
@@ -215,20 +247,31 @@
             self._log_failure(error)
             raise
 
-    def _apply(self, outcome: EndpointList | Exception) -> Exception | None:
+    def _apply(self, outcome: EndpointList | Exception, address_number: int) -> Exception | None:
         """Apply the list of an answered poll; return the error of a poll that failed.
 
         An error ends only this poll, because a watch that ended without notifying the policy would never be
         renewed.
+
+        Args:
+            outcome: List or error of the poll.
+            address_number: Number of the address that was polled. A list is ignored if a later address has
+                sent one before.
         """
         if isinstance(outcome, Exception):
             return outcome
+        if address_number < self._listed_number:
+            return None
         try:
             self.on_list(outcome)
         except Exception as error:  # noqa: BLE001 - any error ends only this poll
             self._log_failure(error)
             return error
-        self.version = outcome.version
+        self._listed_number = address_number
+        if address_number == self._address_number:
+            self.version = outcome.version
+            while self._former_polls:
+                self._former_polls.popleft().cancel()
         return None
 
     def _log_failure(self, error: Exception) -> None:
--- a/tests/net/test_discovery_polling.py
+++ b/tests/net/test_discovery_polling.py
@@ -333,6 +333,77 @@
     run_async(test())
 
 
+def test_addresses_that_change_faster_than_discovery_answers_do_not_delay_its_lists() -> None:
+    """Guards against polls that are given up at each change of the address, so that no list arrives."""
+
+    async def test() -> None:
+        answers = [asyncio.Event() for _ in range(4)]
+
+        def send_after(number: int) -> PollHandler:
+            async def respond(target: str, writer: asyncio.StreamWriter) -> None:
+                await answers[number].wait()
+                await send_list(10 + number, snapshot=True)(target, writer)
+
+            return respond
+
+        servers = [ScriptedDiscovery(send_after(number)) for number in range(4)]
+        client_under_test = ClientUnderTest(replace(QUICK, first_list_timeout=60.0, watch_wait=60.0))
+        discovery = await client_under_test.connect(servers[0])
+        discovery.start()
+        discovery.watch(True)
+        await servers[0].next()
+        for server in servers[1:]:
+            discovery.change_address(await server.start())
+            assert await server.next() == (1, "/v1/servers")
+        for number in (1, 2):  # Two former addresses answer, the older one first.
+            answers[number].set()
+            assert (await client_under_test.list()).version == 10 + number
+            assert discovery.version is None
+        answers[3].set()
+        assert (await client_under_test.list()).version == 13
+        assert (await servers[3].next())[1].startswith("/v1/servers?from=13&")
+        answers[0].set()  # A former address is ignored after the current one has sent a list.
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while not servers[0].ended_connections:
+                await asyncio.sleep(0)
+        assert client_under_test.lists.empty()
+        discovery.stop()
+
+    run_async(test())
+
+
+@pytest.mark.parametrize("later_first", [False, True])
+def test_a_list_of_an_older_address_does_not_replace_that_of_a_later_one(later_first: bool) -> None:
+    """Guards against a drain that is undone by a service whose address has changed since."""
+
+    async def test() -> None:
+        answers = [asyncio.Event(), asyncio.Event()]
+
+        def send_after(number: int) -> PollHandler:
+            async def respond(target: str, writer: asyncio.StreamWriter) -> None:
+                await answers[number].wait()
+                await send_list(10 + number, snapshot=True)(target, writer)
+
+            return respond
+
+        servers = [ScriptedDiscovery(send_after(0)), ScriptedDiscovery(send_after(1))]
+        client_under_test = ClientUnderTest(replace(QUICK, first_list_timeout=60.0))
+        discovery = await client_under_test.connect(ScriptedDiscovery())
+        for server in (*servers, ScriptedDiscovery(send_nothing)):
+            discovery.change_address(await server.start())
+            assert await server.next() == (1, "/v1/servers")
+        for number in (1, 0) if later_first else (0, 1):
+            answers[number].set()
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                while not servers[number].ended_connections:
+                    await asyncio.sleep(0)
+        versions = [(await client_under_test.list()).version for _ in range(client_under_test.lists.qsize())]
+        assert versions == ([11] if later_first else [10, 11])
+        discovery.stop()
+
+    run_async(test())
+
+
 def test_a_new_watch_does_not_delay_the_first_list_of_a_new_address() -> None:
     """Guards against a poll of a new address that is given up because the policy starts a watch."""
 
