A long body is freed when the client's side of its request ends

Cause: the callbacks of a streamed body refer to the body itself, and through the open request to it again. The body pool releases the share when the client leaves, but the memory stays until a garbage collection, and these are rare.

In a proxy with the collector switched off, requests with short bodies and bodies of 40 kB and 1 MB leave no request object behind.

Change: RequestBody.remove_callbacks, when the response or the connection has ended, or a body is dropped.

--- a/service_proxy/net/downstream/connection.py
+++ b/service_proxy/net/downstream/connection.py
@@ -103,6 +103,7 @@
         self._drop_body()
         if self.current_request is not None:
             self._release_pool(self.current_request.body)
+            self.current_request.body.remove_callbacks()
         self.server.set_state(self, None)
         self.server.connections.discard(self)
         source = self.response_source
@@ -342,6 +343,7 @@
         if request is None:
             return
         self._release_pool(request.body)
+        request.body.remove_callbacks()
         if self.body is request.body:
             self.body = RequestBody()
         if self.server.request_counter is not None:
--- a/service_proxy/net/downstream/request_reader.py
+++ b/service_proxy/net/downstream/request_reader.py
@@ -284,6 +284,7 @@
     def _drop_body(self) -> None:
         """Drop the arriving body, because its request is rejected."""
         self._release_pool(self.body)
+        self.body.remove_callbacks()
         self.body = RequestBody()
 
     def _drop_pending_requests(self) -> None:
@@ -291,6 +292,7 @@
         for request, _ in self.pending_requests:
             if isinstance(request, Request):
                 self._release_pool(request.body)
+                request.body.remove_callbacks()
         self.pending_requests.clear()
 
     def _dispatch_early(self) -> None:
--- a/service_proxy/net/request_body.py
+++ b/service_proxy/net/request_body.py
@@ -103,6 +103,14 @@
         """Free the memory of the content, because no attempt will send the body again."""
         self.content.take()
 
+    def remove_callbacks(self) -> None:
+        """Remove the callbacks, because the client's side of the request has ended.
+
+        They refer to this body, so they would keep its memory until a garbage collection.
+        """
+        self.on_drained = None
+        self.on_complete = None
+
     def take_parts(self) -> list[bytes]:
         """Return the first parts of a streamed body, one window at most, and remove them from the buffer.
 
--- a/tests/net/test_memory_limits.py
+++ b/tests/net/test_memory_limits.py
@@ -176,6 +176,27 @@
     run_async(test())
 
 
+def test_a_long_body_is_freed_when_its_client_leaves() -> None:
+    """Guards against bodies in reference cycles, whose memory stays until a garbage collection."""
+    size = MAX_POOLED_BODY_BYTES + 300_000
+
+    async def test() -> None:
+        is_on_its_way = asyncio.Event()
+        endpoints: dict[str, EndpointServer] = {f"s-{n}": StuckEndpoint(is_on_its_way.set) for n in range(4)}
+        async with proxy_under_test(endpoints, memory_mb=MEMORY_LIMIT_MB) as proxy:
+            for number in range(100):
+                client = await proxy.connect()
+                head = post_head(f"{number:016x}", size + 1, budget="9000m")
+                client.writer.write(head + bytes(size))
+                async with asyncio.timeout(TEST_TIMEOUT_S):
+                    await is_on_its_way.wait()
+                is_on_its_way.clear()
+                client.writer.transport.abort()
+            assert process_memory_mb(proxy.process.pid, "VmHWM") <= MEMORY_LIMIT_MB
+
+    run_async(test())
+
+
 @pytest.mark.parametrize("size", [1, 2, 16, 100, 5000])
 def test_the_memory_of_a_buffer_does_not_depend_on_the_size_of_its_pieces(size: int) -> None:
     """Guards against a bound on bytes that is passed in memory, on both sides of the proxy."""
