WebSocket messages are processed in turns and count from their arrival

Cause: a session had 128 frames in a turn, and all sessions had their turns in one iteration of the event loop. A message counted from when it was processed, so that its deadline lay behind its client's.

The memory does not explain it: it stayed at 47 MB.

Change: sessions wait in the ReadTurns of all connections. One message is processed as it arrives, 8 messages or 32 frames in a turn. Messages that waited have half of their class's weight, like pipelined requests. ArrivalTimes bounds when bytes may have arrived in a socket that was not read, by the number of unread bytes at each read and pause.

--- a/service_proxy/net/downstream/__init__.py
+++ b/service_proxy/net/downstream/__init__.py
@@ -4,6 +4,7 @@
 
 from service_proxy.net.downstream.connection import DownstreamConnection
 from service_proxy.net.downstream.http_server import BASE_MEMORY_MB, HttpServer
+from service_proxy.net.downstream.read_turns import ReadTurns
 from service_proxy.net.downstream.request import (
     BadRequestError,
     LocalResponse,
@@ -24,6 +25,7 @@
     "HttpServer",
     "LocalResponse",
     "LocalResponses",
+    "ReadTurns",
     "Request",
     "RequestCounter",
     "RequestHandler",
--- a/service_proxy/net/downstream/request.py
+++ b/service_proxy/net/downstream/request.py
@@ -34,8 +34,7 @@
         idempotency_key: value of Idempotency-Key.
         consumed: headers that a filter of this proxy consumes; `head` doesn't contain them.
         upgrade: the negotiation of the upgrade that the request asks for; None: it asks for no upgrade.
-        is_pipelined: the client sent the request without waiting for the response to an earlier one on the
-            same connection.
+        is_pipelined: the request waited behind earlier ones that the client sent on the same connection.
     """
 
     id: bytes
--- a/service_proxy/net/socket_polling.py
+++ b/service_proxy/net/socket_polling.py
@@ -40,9 +40,21 @@
 
     Return 0 where the system does not tell.
     """
+    return _queued_bytes(transport, termios.TIOCOUTQ)
+
+
+def unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return the number of bytes that the socket has received and the proxy has not read (tcp(7), SIOCINQ).
+
+    Return 0 where the system does not tell.
+    """
+    return _queued_bytes(transport, termios.FIONREAD)
+
+
+def _queued_bytes(transport: asyncio.BaseTransport, request: int) -> int:
     buffer = bytearray(struct.calcsize("i"))
     try:
-        fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, buffer)
+        fcntl.ioctl(transport.get_extra_info("socket").fileno(), request, buffer)
     except OSError:
         return 0
     return int(struct.unpack("i", buffer)[0])
--- a/service_proxy/websocket/connection.py
+++ b/service_proxy/websocket/connection.py
@@ -10,6 +10,9 @@
 import time
 from typing import Protocol
 
+from service_proxy.net.arrival_times import ArrivalTimes
+from service_proxy.net.downstream import ReadTurns
+from service_proxy.net.socket_polling import unread_bytes
 from service_proxy.websocket.closing_handshake import TRANSITIONS, ClosingAction, ClosingEvent, ClosingState
 from service_proxy.websocket.frame_codec import (
     ABNORMAL,
@@ -22,8 +25,10 @@
 )
 from service_proxy.websocket.session_limits import TokenBucket
 
-# Frames of one connection processed in one turn of the event loop; further frames wait for the next turn.
-MAX_FRAMES_PER_TURN = 128
+# Complete messages of one connection that are processed as they arrive; further ones wait for a turn.
+MAX_MESSAGES_ON_ARRIVAL = 1
+MAX_MESSAGES_PER_TURN = 8
+MAX_FRAMES_PER_TURN = 32  # Frames, or parts of frames, that are processed at once.
 # Rate and burst of the pings and pongs that a peer may send.
 CONTROL_FRAMES_PER_S = 20.0
 CONTROL_FRAME_BURST = 40.0
@@ -55,15 +60,26 @@
 
 
 class WebSocketConnection(asyncio.BufferedProtocol):
-    """One side of a WebSocket. Times are monotonic, s.
+    """One side of a WebSocket, which becomes the protocol of its transport. Times are monotonic, s.
+
+    Args:
+        transport: Transport whose opening handshake is complete.
+        codec: Codec of the connection's frames.
+        owner: Receiver of this side's messages and events.
+        read_buffer: Buffer shared by all connections; data that was read is copied at once.
+        read_turns: Turns that the connection shares with all others that have received much at once.
+        is_server: Whether this side is the connection's server, which ends the connection first
+            (RFC 6455, 7.1.1).
 
     Attributes:
         state: State of the closing handshake.
         received_at: Time at which the last data of the peer was read.
+        arrived_at: Earliest time at which this data may have arrived in the socket.
+        awaits_turn: Whether data that was already received waits for the connection's turn.
+        is_in_turn: Whether the data that is processed now has waited for the connection's turn.
         pinged_at: Time at which the unanswered ping was sent; 0 if no ping is unanswered.
         closing_since: Time at which the state OPEN was left.
         is_paused: Whether the owner accepts no messages at present.
-        is_read_scheduled: Whether a later turn of the event loop will process data that was already received.
         pending_pong: Data of the last ping that has to be answered.
         has_violated_protocol: Whether a violation by the peer has ended the connection.
         stalled_bytes: Unsent bytes at the last check.
@@ -71,18 +87,22 @@
     """
 
     __slots__ = (
+        "arrival_times",
+        "arrived_at",
+        "awaits_turn",
         "closing_since",
         "codec",
         "control_bucket",
         "has_violated_protocol",
         "is_closed_notified",
+        "is_in_turn",
         "is_paused",
-        "is_read_scheduled",
         "is_server",
         "owner",
         "pending_pong",
         "pinged_at",
         "read_buffer",
+        "read_turns",
         "received_at",
         "stalled_bytes",
         "stalled_since",
@@ -96,30 +116,25 @@
         codec: FrameCodec,
         owner: ConnectionOwner,
         read_buffer: memoryview,
+        read_turns: ReadTurns,
         is_server: bool,
     ) -> None:
-        """Attach this side to a transport and become the transport's protocol.
-
-        Args:
-            transport: Transport whose opening handshake is complete.
-            codec: Codec of the connection's frames.
-            owner: Receiver of this side's messages and events.
-            read_buffer: Buffer shared by all connections; data that was read is processed at once.
-            is_server: Whether this side is the connection's server, which ends the connection first
-                (RFC 6455, 7.1.1).
-        """
         now = time.monotonic()
         self.transport: asyncio.Transport | None = transport
         self.codec = codec
         self.owner = owner
         self.read_buffer = read_buffer
+        self.read_turns = read_turns
         self.is_server = is_server
         self.state = ClosingState.OPEN
         self.received_at = now
+        self.arrived_at = now
+        self.arrival_times = ArrivalTimes()
         self.pinged_at = 0.0
         self.closing_since = 0.0
         self.is_paused = False
-        self.is_read_scheduled = False
+        self.awaits_turn = False
+        self.is_in_turn = False
         self.pending_pong: bytes | None = None
         self.control_bucket = TokenBucket(CONTROL_FRAME_BURST, now)
         self.is_closed_notified = False
@@ -137,32 +152,41 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Process the bytes that were read into the buffer."""
-        self.received_at = time.monotonic()
-        if self.state is ClosingState.CLOSED:
+        transport = self.transport
+        now = time.monotonic()
+        self.received_at = now
+        if self.state is ClosingState.CLOSED or transport is None:
             return  # The data is read so that the connection ends in order, and is discarded.
+        unread = unread_bytes(transport) if nbytes == len(self.read_buffer) else 0
+        self.arrived_at = self.arrival_times.on_read(nbytes, unread, now)
         self.codec.receive(self.read_buffer[:nbytes])
-        self._process()
+        self._process(MAX_MESSAGES_ON_ARRIVAL)
 
     def receive_surplus(self, data: bytes) -> None:
         """Process data that was read together with the opening handshake."""
         if data:
             self.codec.receive(data)
-            self.schedule_read()
-
-    def schedule_read(self) -> None:
-        """Schedule the processing of received data for a later turn of the event loop."""
-        if not self.is_read_scheduled and self.transport is not None:
-            self.is_read_scheduled = True
-            asyncio.get_running_loop().call_soon(self._scheduled_read)
-
-    def _scheduled_read(self) -> None:
-        self.is_read_scheduled = False
-        self._process()
-
-    def _process(self) -> None:
+            self._wait_for_turn()
+
+    def _wait_for_turn(self) -> None:
+        """Wait for the connection's turn to process the data that was already received."""
+        if not self.awaits_turn and self.transport is not None:
+            self.awaits_turn = True
+            self.read_turns.wait(self)
+
+    def on_read_turn(self) -> None:
+        """Process data that has waited for the connection's turn."""
+        self.awaits_turn = False
+        self.is_in_turn = True
+        self._process(MAX_MESSAGES_PER_TURN)
+        self.is_in_turn = False
+
+    def _process(self, max_messages: int) -> None:
+        """Process received frames, at most this number of complete messages; the rest waits for a turn."""
         is_all_processed = True
         try:
-            is_all_processed = self._process_frames()
+            self._process_frames(max_messages)
+            is_all_processed = self.is_paused or not self.codec.has_event()
         except ProtocolViolationError as error:
             self.fail(error.close_code, str(error))
         if self.pending_pong is not None:
@@ -170,14 +194,14 @@
             self.pending_pong = None
             if self.state is not ClosingState.CLOSED:
                 self._write(self.codec.encode_pong(data))
-        if not is_all_processed and not self.is_paused and self.state is not ClosingState.CLOSED:
-            self.schedule_read()
+        if not is_all_processed and self.state is not ClosingState.CLOSED:
+            self._wait_for_turn()
         self._update_reading()
 
-    def _process_frames(self) -> bool:
-        """Process the frames of one turn; return False if the limit of frames per turn was reached."""
-        remaining = MAX_FRAMES_PER_TURN
-        for event in self.codec.events():
+    def _process_frames(self, max_messages: int) -> None:
+        """Process received frames until a limit is reached or the owner accepts no more."""
+        messages = 0
+        for frames, event in enumerate(self.codec.events(), 1):
             if self.state is ClosingState.CLOSED:
                 break
             if isinstance(event, MessageFragment):
@@ -189,10 +213,9 @@
             else:
                 self._transition(ClosingEvent.CLOSE_RECEIVED, event.code, event.reason)
                 break
-            remaining -= 1
-            if not remaining or self.is_paused:
+            messages += isinstance(event, MessageFragment) and event.is_last
+            if frames == MAX_FRAMES_PER_TURN or messages == max_messages or self.is_paused:
                 break
-        return remaining > 0
 
     def _on_control_frame(self, event: PingFrame | PongFrame) -> None:
         if not self.control_bucket.take(self.received_at, CONTROL_FRAMES_PER_S, CONTROL_FRAME_BURST):
@@ -205,17 +228,21 @@
         """Stop or resume passing messages to the owner."""
         self.is_paused = is_paused
         if not is_paused:
-            self.schedule_read()
+            self._wait_for_turn()
         self._update_reading()
 
     def _update_reading(self) -> None:
-        if self.transport is None or self.transport.is_closing():
+        transport = self.transport
+        if transport is None or transport.is_closing():
             return
-        should_read = self.state is ClosingState.CLOSED or not (self.is_paused or self.is_read_scheduled)
-        if should_read and not self.transport.is_reading():
-            self.transport.resume_reading()
-        elif not should_read and self.transport.is_reading():
-            self.transport.pause_reading()
+        should_read = self.state is ClosingState.CLOSED or not (self.is_paused or self.awaits_turn)
+        if should_read and not transport.is_reading():
+            if not unread_bytes(transport):
+                self.arrival_times.clear()
+            transport.resume_reading()
+        elif not should_read and transport.is_reading():
+            self.arrival_times.observe(unread_bytes(transport), time.monotonic())
+            transport.pause_reading()
 
     # Sending.
 
@@ -246,7 +273,7 @@
     @property
     def buffered_bytes(self) -> int:
         """Return the largest possible number of unsent and of received unprocessed bytes of this side."""
-        unprocessed = len(self.read_buffer) if self.is_paused or self.is_read_scheduled else 0
+        unprocessed = len(self.read_buffer) if self.is_paused or self.awaits_turn else 0
         return self.unsent_bytes + unprocessed
 
     def stalled_for(self, now: float) -> float:
--- a/service_proxy/websocket/frame_codec.py
+++ b/service_proxy/websocket/frame_codec.py
@@ -121,10 +121,11 @@
 class FrameCodec:
     """Encoder and decoder of one connection's frames. A client (towards an endpoint) masks its frames."""
 
-    __slots__ = ("_frames", "_limits")
+    __slots__ = ("_frames", "_limits", "_next_event")
 
     def __init__(self, is_client: bool, max_message_bytes: int, extensions: Sequence[Extension] = ()) -> None:
         """Create the codec; `max_message_bytes` limits a message as it is on the wire."""
+        self._next_event: FrameEvent | None = None  # Decoded, and not yet yielded by `events`.
         self._limits = _MessageLimits(max_message_bytes)
         self._frames = FrameProtocol(is_client, [self._limits, *extensions])
 
@@ -138,13 +139,28 @@
         Raises:
             ProtocolViolationError: The peer has violated the protocol or a limit.
         """
-        try:
-            for frame in self._frames.received_frames():
-                yield self._event(frame)
-        except ParseFailed as violation:
-            limit_violation = self._limits.violation
-            self._limits.violation = None
-            raise (limit_violation or ProtocolViolationError(int(violation.code), str(violation))) from None
+        while self.has_event():
+            event = self._next_event
+            assert event is not None
+            self._next_event = None
+            yield event
+
+    def has_event(self) -> bool:
+        """Return whether a received frame, or a part of one, is left for `events`.
+
+        Raises:
+            ProtocolViolationError: The peer has violated the protocol or a limit.
+        """
+        if self._next_event is None:
+            try:
+                frame = next(self._frames.received_frames(), None)
+            except ParseFailed as violation:
+                limit_violation = self._limits.violation
+                self._limits.violation = None
+                error = limit_violation or ProtocolViolationError(int(violation.code), str(violation))
+                raise error from None
+            self._next_event = None if frame is None else self._event(frame)
+        return self._next_event is not None
 
     @staticmethod
     def _event(frame: Frame) -> FrameEvent:
--- a/service_proxy/websocket/listener.py
+++ b/service_proxy/websocket/listener.py
@@ -133,6 +133,7 @@
         self.unread_by_connection: dict[WebSocketConnection, int] = {}
         self.unread_bytes = 0
         self.is_draining = False
+        self.read_turns = server.read_turns
         self.drain_deadline = 0.0
         self.sweep_timer: asyncio.TimerHandle | None = None
         dispatcher.upgraded_connection_allowance = settings.sessions if settings.tunnels else 0
@@ -246,7 +247,9 @@
                 extensions = [PerMessageDeflate(parameters, settings.message_bytes, settings.deflate_ratio)]
         transport = connection.detach(encode_response(opening, protocol, extension))
         codec = FrameCodec(False, settings.message_bytes, extensions)
-        accepted = WebSocketConnection(transport, codec, owner, self.read_buffer, is_server=True)
+        accepted = WebSocketConnection(
+            transport, codec, owner, self.read_buffer, self.read_turns, is_server=True
+        )
         self.connections[accepted] = None
         return accepted
 
--- a/service_proxy/websocket/message_session.py
+++ b/service_proxy/websocket/message_session.py
@@ -230,7 +230,6 @@
 
     def on_message(self, connection: MessageConnection, text: str) -> None:
         """Accept a message, or answer a repeated or malformed one."""
-        now = time.monotonic()
         try:
             message = message_framing.parse_message(text)
         except message_framing.MalformedMessageError as error:
@@ -247,7 +246,7 @@
             return
         writer = MessageResponseWriter(self, session, message.message_id)
         session.pending[message.message_id] = writer
-        self._admit(connection, writer, message, now)
+        self._admit(connection, writer, message)
 
     def _reject_malformed(
         self, connection: MessageConnection, error: message_framing.MalformedMessageError
@@ -262,13 +261,12 @@
         connection: MessageConnection,
         writer: MessageResponseWriter,
         message: message_framing.ClientMessage,
-        now: float,
     ) -> None:
         """Dispatch a new message, or reject the message if a limit of its session is exceeded."""
         settings = self.listener.settings
         session = connection.session
         message_id = message.message_id
-        if not connection.bucket.take(now, settings.messages_per_s, settings.burst):
+        if not connection.bucket.take(time.monotonic(), settings.messages_per_s, settings.burst):
             wait = connection.bucket.time_until_token(settings.messages_per_s)
             self.settle(session, message_id, TOO_MANY_REQUESTS, b"too many messages\n", wait)
         elif len(session.pending) > settings.open_messages:
@@ -277,12 +275,16 @@
         elif self.listener.is_draining:
             self.settle(session, message_id, SERVICE_UNAVAILABLE, b"this proxy is stopping\n", 0.0)
         else:
-            self._dispatch(writer, message, now)
+            assert connection.connection is not None
+            self._dispatch(writer, message, connection.connection)
 
     def _dispatch(
-        self, writer: MessageResponseWriter, message: message_framing.ClientMessage, now: float
+        self,
+        writer: MessageResponseWriter,
+        message: message_framing.ClientMessage,
+        connection: WebSocketConnection,
     ) -> None:
-        """Pass a message to the dispatcher as a request."""
+        """Pass a message to the dispatcher as a request, whose time budget counts from its arrival."""
         session = writer.session
         idempotency = self.listener.dispatcher.idempotency_by_class.get(message.class_name)
         if idempotency is None:
@@ -290,7 +292,8 @@
             return
         method = b"GET" if idempotency is Idempotency.IDEMPOTENT else b"POST"
         try:
-            request = self._build_request(session, message, method, now)
+            request = self._build_request(session, message, method, connection.arrived_at)
+            request.is_pipelined = connection.is_in_turn
         except BadRequestError as error:
             self.settle(session, message.message_id, error.status_code, f"{error}\n".encode())
             return
@@ -302,7 +305,11 @@
                 self.settle(session, message.message_id, INTERNAL_SERVER_ERROR, b"internal error\n")
 
     def _build_request(
-        self, session: MessageSession, message: message_framing.ClientMessage, method: bytes, now: float
+        self,
+        session: MessageSession,
+        message: message_framing.ClientMessage,
+        method: bytes,
+        arrived_at: float,
     ) -> Request:
         """Build the request of a message.
 
@@ -330,7 +337,7 @@
             f"/{message.class_name}{message.path}".encode(),
             headers,
             RequestBody.of(message.body),
-            now,
+            arrived_at,
             dispatcher.idempotency_by_class,
             dispatcher.consumed_headers,
         )
--- a/service_proxy/websocket/session_host.py
+++ b/service_proxy/websocket/session_host.py
@@ -5,7 +5,7 @@
 from typing import Any, Protocol
 
 from service_proxy.net.dispatcher import RequestDispatcher
-from service_proxy.net.downstream import DownstreamConnection
+from service_proxy.net.downstream import DownstreamConnection, ReadTurns
 from service_proxy.net.upstream import ConnectionPool
 from service_proxy.operator_file import WebSocket
 from service_proxy.websocket.connection import ConnectionOwner, WebSocketConnection
@@ -24,6 +24,7 @@
     read_buffer: memoryview
     is_draining: bool
 
+    read_turns: ReadTurns
     def accept_connection(
         self,
         connection: DownstreamConnection,
--- a/service_proxy/websocket/tunnel.py
+++ b/service_proxy/websocket/tunnel.py
@@ -173,7 +173,12 @@
         chosen = next((value for name, value in headers if name == b"sec-websocket-protocol"), b"")
         codec = FrameCodec(True, listener.settings.message_bytes)
         endpoint = WebSocketConnection(
-            transport, codec, self.endpoint_side, listener.read_buffer, is_server=False
+            transport,
+            codec,
+            self.endpoint_side,
+            listener.read_buffer,
+            listener.read_turns,
+            is_server=False,
         )
         self.endpoint_side.connection = endpoint
         client = listener.accept_connection(self.downstream, opening, chosen, self.client_side)
