The messages of WebSocket sessions have a limit of memory

Cause: the request of a message refers to its writer and the writer to the request, so that its body stayed after the outcome until a garbage collection. No limit counted the bodies of pending messages either, and fragments were kept as str objects, counted in characters.

Evidence: at 259 MB 3,749 open requests with 218 MB of bodies were alive, 23 of them with an attempt, though 3,998 of 4,000 had been rejected; write buffers and the codec's buffers were empty.

Change: a writer forgets its request at the outcome. MessageMemory counts arriving and pending messages, half of a share each: the longest arriving message gives way (1013), a new message without room is refused. The share is subtracted from HTTP's memory as far as HTTP keeps its minimum, so no deployment that started before is rejected. Fragments are kept as bytes.

--- a/service_proxy/websocket/listener.py
+++ b/service_proxy/websocket/listener.py
@@ -29,6 +29,7 @@
 from service_proxy.policy.settings_types import Idempotency
 from service_proxy.websocket.connection import ConnectionOwner, WebSocketConnection
 from service_proxy.websocket.frame_codec import FrameCodec
+from service_proxy.websocket.message_memory import MessageMemory, pending_bytes
 from service_proxy.websocket.message_session import MessageConnection, MessageSessions
 from service_proxy.websocket.opening_handshake import (
     HANDSHAKE_FIELDS,
@@ -60,6 +61,8 @@
 SESSION_MEMORY_MB = 0.024  # Memory of one idle session, including both sides of a tunnel.
 # Share of the memory above BASE_MEMORY_MB that may buffer data that clients have not read.
 UNREAD_MEMORY_SHARE = 0.25
+# Share of the same memory for messages that are arriving or have no outcome yet.
+MESSAGE_MEMORY_SHARE = 0.15
 OUTCOME_SHARE = 0.25  # Share of the unread memory that may hold stored outcomes.
 MIN_HTTP_MEMORY_MB = 8  # Memory that has to remain for HTTP requests.
 
@@ -84,6 +87,7 @@
             f"{config.max_descriptors} descriptors and "
             f"{config.memory_mb:g} MB: write sessions = {max(0, min(max_by_sockets, max_by_memory))} or less"
         )
+    memory_mb = max(BASE_MEMORY_MB + MIN_HTTP_MEMORY_MB, memory_mb - message_limit(config, settings) / 1e6)
     return replace(config, max_descriptors=sockets, memory_mb=memory_mb)
 
 
@@ -92,6 +96,12 @@
     return int((config.memory_mb - BASE_MEMORY_MB) * UNREAD_MEMORY_SHARE * 1e6)
 
 
+def message_limit(config: ProxyConfig, settings: WebSocket) -> int:
+    """Return how many bytes the messages of all clients may take; there is room for the longest message."""
+    share = int((config.memory_mb - BASE_MEMORY_MB) * MESSAGE_MEMORY_SHARE * 1e6)
+    return max(share, 2 * pending_bytes(settings.message_bytes))
+
+
 class WebSocketListener:
     """Listener of all WebSocket connections, which implements UpgradeHandler, SessionHost and Subsystem.
 
@@ -123,8 +133,10 @@
                 )
         self.loop = asyncio.get_running_loop()
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
+        self.read_turns = server.read_turns
         self.max_unread_bytes = unread_limit(config)
         self.registry = SessionRegistry(int(self.max_unread_bytes * OUTCOME_SHARE))
+        self.message_memory = MessageMemory(message_limit(config, settings))
         self.message_sessions = MessageSessions(self)
         self.limits = SessionLimits()
         self.spread = ReconnectSpread(config.seed, settings.reconnect_spread)
@@ -133,7 +145,6 @@
         self.unread_by_connection: dict[WebSocketConnection, int] = {}
         self.unread_bytes = 0
         self.is_draining = False
-        self.read_turns = server.read_turns
         self.drain_deadline = 0.0
         self.sweep_timer: asyncio.TimerHandle | None = None
         dispatcher.upgraded_connection_allowance = settings.sessions if settings.tunnels else 0
--- a/service_proxy/websocket/message_session.py
+++ b/service_proxy/websocket/message_session.py
@@ -9,6 +9,7 @@
 import time
 from typing import Any
 
+from service_proxy.net.block_buffer import BlockBuffer
 from service_proxy.net.downstream import BadRequestError, Request, parse_request
 from service_proxy.net.http_status import (
     BAD_GATEWAY,
@@ -25,6 +26,7 @@
 from service_proxy.websocket import message_framing
 from service_proxy.websocket.connection import POLICY_VIOLATION, WebSocketConnection
 from service_proxy.websocket.frame_codec import NO_STATUS, MessageFragment
+from service_proxy.websocket.message_memory import pending_bytes
 from service_proxy.websocket.session_host import SessionHost
 from service_proxy.websocket.session_limits import TokenBucket
 from service_proxy.websocket.session_registry import (
@@ -40,9 +42,11 @@
 GOING_AWAY = 1001
 UNSUPPORTED_DATA = 1003
 MESSAGE_TOO_BIG = 1009
+TRY_AGAIN_LATER = 1013  # IANA registry of close codes.
 # Close codes with which a client ends its session as well as its connection.
 SESSION_END_CODES = (NORMAL, NO_STATUS)
-TOO_MANY_PENDING_RETRY_S = 1.0  # Retry delay sent to a client that has too many pending messages.
+# Retry delay sent to a client that has too many pending messages, or for whose message there is no room.
+TOO_MANY_PENDING_RETRY_S = 1.0
 
 
 class MessageResponseWriter:
@@ -50,18 +54,29 @@
 
     Attributes:
         request_handle: The dispatcher's handle of the request, after the request was dispatched.
+        reserved_bytes: Bytes of the message in the memory of all messages.
         source: Source of a streamed response.
         parts: Parts of a streamed response so far.
         size: Length of these parts in bytes.
     """
 
-    __slots__ = ("message_id", "parts", "request_handle", "session", "sessions", "size", "source")
+    __slots__ = (
+        "message_id",
+        "parts",
+        "request_handle",
+        "reserved_bytes",
+        "session",
+        "sessions",
+        "size",
+        "source",
+    )
 
     def __init__(self, sessions: MessageSessions, session: MessageSession, message_id: str) -> None:
         self.sessions = sessions
         self.session = session
         self.message_id = message_id
         self.request_handle: Any = None
+        self.reserved_bytes = 0
         self.source: ResponseSource | None = None
         self.parts: list[bytes] = []
         self.size = 0
@@ -125,11 +140,13 @@
     def cancel(self, dispatcher: Any) -> None:
         """Cancel the request or its streamed response, because no client waits for the outcome."""
         source = self.source
+        request_handle = self.request_handle
         self.source = None
+        self.request_handle = None
         if source is not None:
             source.discard()
-        elif self.request_handle is not None:
-            dispatcher.client_disconnected(self.request_handle)
+        elif request_handle is not None:
+            dispatcher.client_disconnected(request_handle)
 
 
 class MessageConnection:
@@ -137,20 +154,18 @@
 
     Attributes:
         client: Address of the client.
-        parts: Fragments so far of a message that arrives in several fragments.
-        size: Length of these fragments in characters.
+        content: Fragments so far of a message that arrives in several fragments, in UTF-8.
         malformed_count: Messages of this connection that could not be processed.
     """
 
-    __slots__ = ("bucket", "client", "connection", "malformed_count", "parts", "session", "sessions", "size")
+    __slots__ = ("bucket", "client", "connection", "content", "malformed_count", "session", "sessions")
 
     def __init__(self, sessions: MessageSessions, session: MessageSession, client: str, now: float) -> None:
         self.sessions = sessions
         self.session = session
         self.client = client
         self.connection: WebSocketConnection | None = None
-        self.parts: list[str] | None = None
-        self.size = 0
+        self.content: BlockBuffer | None = None
         self.malformed_count = 0
         self.bucket = TokenBucket(sessions.listener.settings.burst, now)
 
@@ -160,25 +175,43 @@
         if not isinstance(fragment.data, str):
             self.connection.fail(UNSUPPORTED_DATA, "messages here are texts")
             return
-        text = fragment.data
-        if self.parts is not None or not fragment.is_last:
-            self.parts = self.parts or []
-            self.parts.append(text)
-            self.size += len(text)
-            # A decompressed message can be longer than its received bytes.
-            if self.size > self.sessions.listener.settings.message_bytes:
-                self.connection.fail(MESSAGE_TOO_BIG, "the message is too long")
-                return
-            if not fragment.is_last:
-                return
-            text = "".join(self.parts)
-            self.parts = None
-            self.size = 0
-        self.sessions.on_message(self, text)
+        if self.content is None and fragment.is_last:
+            self.sessions.on_message(self, fragment.data)
+        elif self._collect(self.connection, fragment.data.encode()) and fragment.is_last:
+            text = b"".join(self.content.blocks if self.content is not None else ()).decode()
+            self._drop_content()
+            self.sessions.on_message(self, text)
+
+    def _collect(self, connection: WebSocketConnection, data: bytes) -> bool:
+        """Append a fragment to the message that is arriving, and return whether it still may be completed."""
+        if self.content is None:
+            self.content = BlockBuffer()
+        if not data:
+            return True
+        self.content.append(data)
+        # A decompressed message can be longer than its received bytes.
+        if self.content.size > self.sessions.listener.settings.message_bytes:
+            connection.fail(MESSAGE_TOO_BIG, "the message is too long")
+            return False
+        if not self.sessions.memory.reserve_arriving(self, len(data)):
+            self.on_no_room()
+            return False
+        return True
+
+    def on_no_room(self) -> None:
+        """Close the connection, whose client may resume its session and send the message again."""
+        self._drop_content()
+        if self.connection is not None:
+            self.connection.close(TRY_AGAIN_LATER, "no room for the message")
+
+    def _drop_content(self) -> None:
+        """Drop the fragments of the message that is arriving."""
+        self.content = None
+        self.sessions.memory.release_arriving(self)
 
     def on_closed(self, code: int, _reason: str) -> None:
         """Detach or end the session."""
-        self.parts = None
+        self._drop_content()
         self.sessions.on_connection_closed(self, code)
 
     def on_connection_lost(self) -> None:
@@ -215,6 +248,7 @@
     def __init__(self, listener: SessionHost) -> None:
         self.listener = listener
         self.registry = listener.registry
+        self.memory = listener.message_memory
 
     def start(self, connection: MessageConnection, resumed: bool, acknowledged: int) -> None:
         """Send the hello, then the outcomes that the client of a resumed session has not read."""
@@ -274,10 +308,21 @@
             self.settle(session, message_id, TOO_MANY_REQUESTS, text, TOO_MANY_PENDING_RETRY_S)
         elif self.listener.is_draining:
             self.settle(session, message_id, SERVICE_UNAVAILABLE, b"this proxy is stopping\n", 0.0)
+        elif not self._reserve_memory(writer, message):
+            text = b"no room for the message\n"
+            self.settle(session, message_id, SERVICE_UNAVAILABLE, text, TOO_MANY_PENDING_RETRY_S)
         else:
             assert connection.connection is not None
             self._dispatch(writer, message, connection.connection)
 
+    def _reserve_memory(self, writer: MessageResponseWriter, message: message_framing.ClientMessage) -> bool:
+        """Reserve the memory of a pending message, and return whether there was room."""
+        size = pending_bytes(len(message.body))
+        if not self.memory.reserve_pending(size):
+            return False
+        writer.reserved_bytes = size
+        return True
+
     def _dispatch(
         self,
         writer: MessageResponseWriter,
@@ -298,11 +343,14 @@
             self.settle(session, message.message_id, error.status_code, f"{error}\n".encode())
             return
         try:
-            writer.request_handle = self.listener.dispatcher.start_request(request, writer)
+            request_handle = self.listener.dispatcher.start_request(request, writer)
         except Exception:  # noqa: BLE001 - one message must not end its session
             self.listener.log_failure("a message could not be dispatched")
             if message.message_id in session.pending:
                 self.settle(session, message.message_id, INTERNAL_SERVER_ERROR, b"internal error\n")
+            return
+        if session.pending.get(message.message_id) is writer:
+            writer.request_handle = request_handle
 
     def _build_request(
         self,
@@ -351,6 +399,10 @@
         retry_after: float = 0.0,
     ) -> None:
         """Send the only outcome of a message, and store the outcome for a client that resumes the session."""
+        writer = session.pending[message_id]
+        self.memory.release_pending(writer.reserved_bytes)
+        # The request refers to its writer. Such a cycle would keep its body until a garbage collection.
+        writer.request_handle = None
         number = session.settle(message_id)
         text = message_framing.encode_outcome(number, message_id, status_code, body, retry_after)
         stored = text
@@ -376,6 +428,7 @@
     def end(self, session: MessageSession) -> None:
         """Remove a session and cancel its pending messages."""
         for writer in self.registry.end(session):
+            self.memory.release_pending(writer.reserved_bytes)
             writer.cancel(self.listener.dispatcher)
 
     def sweep(self, now: float) -> None:
--- a/service_proxy/websocket/session_host.py
+++ b/service_proxy/websocket/session_host.py
@@ -9,6 +9,7 @@
 from service_proxy.net.upstream import ConnectionPool
 from service_proxy.operator_file import WebSocket
 from service_proxy.websocket.connection import ConnectionOwner, WebSocketConnection
+from service_proxy.websocket.message_memory import MessageMemory
 from service_proxy.websocket.opening_handshake import OpeningRequest
 from service_proxy.websocket.reconnect_spread import ReconnectSpread
 from service_proxy.websocket.session_registry import SessionRegistry
@@ -20,11 +21,12 @@
     settings: WebSocket
     dispatcher: RequestDispatcher
     registry: SessionRegistry
+    message_memory: MessageMemory
     spread: ReconnectSpread
     read_buffer: memoryview
+    read_turns: ReadTurns
     is_draining: bool
 
-    read_turns: ReadTurns
     def accept_connection(
         self,
         connection: DownstreamConnection,
--- a/tests/websocket/test_message_floods.py
+++ b/tests/websocket/test_message_floods.py
@@ -1,17 +1,19 @@
-"""Sessions that send many messages at once: turns and time budgets."""
+"""Sessions that send many messages at once: turns, memory and time budgets."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import json
 import socket
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 import pytest
 import uvloop
-from websocket_test_harness import TEST_TIMEOUT_S
+from websocket_test_harness import TEST_TIMEOUT_S, UNLIMITED_RATE, run_test, running_websocket_proxy
 
+from harness.proxy_process import process_memory_mb
 from harness.websocket_frames import frame
 from service_proxy.net.downstream import DownstreamConnection, HttpServer, UpgradeRequest
 from service_proxy.net.downstream.request import LocalResponse, Request, ResponseWriter
@@ -22,6 +24,7 @@
 )
 from service_proxy.websocket.frame_codec import FrameCodec, MessageFragment
 from service_proxy.websocket.listener import READ_BUFFER_BYTES
+from service_proxy.websocket.message_memory import MessageMemory
 
 TEXT, CONTINUATION = 1, 0
 FLOOD_CLIENTS = 24
@@ -29,6 +32,7 @@
 USUAL_REQUESTS = 16
 # Iterations of the event loop that a usual request takes: the test sends, the server reads and responds.
 MAX_ITERATIONS_PER_REQUEST = 3
+MEMORY_LIMIT_MB = 64
 HANDSHAKE = (
     b"GET /pantalla HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
     b"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n"
@@ -178,3 +182,81 @@
             client.close()
 
     uvloop.run(test())
+
+
+def test_bodies_of_messages_keep_the_process_within_its_memory_limit() -> None:
+    """Guards against bodies of messages that no limit counts, or that stay after their outcomes."""
+
+    async def test() -> None:
+        config = UNLIMITED_RATE + "open_messages = 1000\n"
+        overrides = {"limits": {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": 512}}
+        async with running_websocket_proxy(
+            config=config, overrides=overrides, service_time=0.5
+        ) as deployment:
+            clients = [await deployment.connect("/pantalla") for _ in range(30)]
+            body = "x" * 60_000
+
+            async def send(number: int) -> None:
+                client = clients[number]
+                await client.read_json()
+                for n in range(50):
+                    client.send(json.dumps({"id": f"{number}-{n}", "class": "canje", "body": body}))
+                    await client.writer.drain()
+                await client.read_outcomes(50)
+
+            await asyncio.gather(*(send(number) for number in range(len(clients))))
+            assert process_memory_mb(deployment.proxy.process.pid, "VmHWM") <= MEMORY_LIMIT_MB
+
+    run_test(test())
+
+
+class Receiver:
+    """Receiver of a message that can be given up."""
+
+    def __init__(self, memory: MessageMemory) -> None:
+        self.memory = memory
+        self.is_given_up = False
+
+    def on_no_room(self) -> None:
+        self.is_given_up = True
+        self.memory.release_arriving(self)
+
+
+def receivers(memory: MessageMemory, sizes: list[int]) -> Iterator[Receiver]:
+    for size in sizes:
+        receiver = Receiver(memory)
+        assert memory.reserve_arriving(receiver, size)
+        yield receiver
+
+
+def test_messages_that_are_never_complete_make_room_for_smaller_ones() -> None:
+    """Guards against clients that take all the memory of messages with messages that they never complete."""
+    memory = MessageMemory(200)
+    small, large, middle = receivers(memory, [20, 50, 30])
+    other = Receiver(memory)
+    assert memory.reserve_arriving(other, 10)
+    assert [receiver.is_given_up for receiver in (small, large, middle)] == [False, True, False]
+    assert memory.arriving_bytes == 60
+    for receiver in (small, middle, other):
+        memory.release_arriving(receiver)
+    assert memory.arriving_bytes == 0
+
+
+def test_a_message_does_not_make_room_for_itself() -> None:
+    """Guards against bytes that stay reserved for a message that was given up."""
+    memory = MessageMemory(200)
+    (receiver,) = receivers(memory, [60])
+    assert not memory.reserve_arriving(receiver, 50)
+    assert not receiver.is_given_up
+    memory.release_arriving(receiver)
+    assert memory.arriving_bytes == 0
+
+
+def test_pending_and_arriving_messages_have_room_beside_each_other() -> None:
+    """Guards against connections closed in the middle of a message, as others wait for an outcome."""
+    memory = MessageMemory(200)
+    assert memory.reserve_pending(100)
+    assert not memory.reserve_pending(1)
+    assert memory.reserve_arriving(Receiver(memory), 100)
+    memory.release_pending(100)
+    assert memory.reserve_pending(100)
