Bodies of usual clients do not wait for the turns of a flood

Cause: what one read did not bring waited for a turn behind all floods, once for each 64 KiB.

Change: ReadTurns has two queues, one turn of each in an iteration. Content of known length is read on up to 256 KiB, since it is only copied. The rest of a turn is bounded in bytes: 8 KiB as they arrive, 16 KiB in a turn; slices have 16 bytes at least, so that empty lines are no slices of their own. ArrivalTimes, by the unread bytes at each read that filled its buffer and at each pause, replaces the two times that a connection kept.

--- a/service_proxy/net/downstream/input_buffer.py
+++ b/service_proxy/net/downstream/input_buffer.py
@@ -13,6 +13,7 @@
 MAX_READ_AHEAD_BYTES = 16 * 1024
 MAX_READ_AHEAD_READS = 16  # Reads of a connection from which no more is read until they are parsed.
 MAX_SLICE_BYTES = 4096  # Bytes that are parsed at once, unless they are content of a body of known length.
+MIN_SLICE_BYTES = 16  # No request is shorter; empty lines and chunks may be.
 END_OF_HEAD = b"\r\n\r\n"  # Also the end of a chunked body.
 
 
@@ -22,7 +23,7 @@
     Attributes:
         data: the bytes.
         read_at: when they were read from the socket (monotonic, s).
-        arrived_at: the earliest time at which they may have arrived in the socket (monotonic, s).
+        arrived_at: the earliest time at which the first of them may have arrived (monotonic, s).
     """
 
     data: bytes
@@ -35,18 +36,16 @@
 
     Attributes:
         size: number of bytes in the buffer.
-        read_number: number of the read that the last slice belongs to.
-        read_at: when this read took place (monotonic, s).
-        arrived_at: the earliest time at which its bytes may have arrived in the socket (monotonic, s).
+        read_at: `ReceivedBytes.read_at` of the read that the last slice belongs to.
+        arrived_at: `ReceivedBytes.arrived_at` of this read.
     """
 
-    __slots__ = ("_offset", "_reads", "arrived_at", "read_at", "read_number", "size")
+    __slots__ = ("_offset", "_reads", "arrived_at", "read_at", "size")
 
     def __init__(self) -> None:
         self._reads: deque[ReceivedBytes] = deque()
         self._offset = 0  # Offset in the first read of the first byte that is in the buffer.
         self.size = 0
-        self.read_number = 0
         self.read_at = 0.0
         self.arrived_at = 0.0
 
@@ -71,7 +70,6 @@
         """
         data, self.read_at, self.arrived_at = self._reads[0]
         begin = self._offset
-        self.read_number += begin == 0
         end = min(len(data), begin + (content_bytes or self._slice_bytes(data, begin)))
         if end == len(data):
             self._reads.popleft()
@@ -84,7 +82,9 @@
     @staticmethod
     def _slice_bytes(data: bytes, begin: int) -> int:
         """Return the length of the slice that begins at an offset outside of a body of known length."""
-        end_of_head = data.find(END_OF_HEAD, begin, begin + MAX_SLICE_BYTES)
+        end_of_head = data.find(
+            END_OF_HEAD, begin + MIN_SLICE_BYTES - len(END_OF_HEAD), begin + MAX_SLICE_BYTES
+        )
         return MAX_SLICE_BYTES if end_of_head < 0 else end_of_head + len(END_OF_HEAD) - begin
 
     def clear(self) -> None:
--- a/service_proxy/net/downstream/request.py
+++ b/service_proxy/net/downstream/request.py
@@ -30,7 +30,8 @@
         head: the request head that is forwarded to an endpoint, without the headers that are added for each
             attempt (such as X-Budget) and without the final empty line.
         body: the request body; a streamed body may still be incomplete.
-        received_at: when the last byte so far was received (monotonic, s); final after the body is complete.
+        received_at: the earliest time at which the last byte so far may have arrived (monotonic, s); final
+            after the body is complete.
         idempotency_key: value of Idempotency-Key.
         consumed: headers that a filter of this proxy consumes; `head` doesn't contain them.
         upgrade: the negotiation of the upgrade that the request asks for; None: it asks for no upgrade.
--- a/service_proxy/net/downstream/request_reader.py
+++ b/service_proxy/net/downstream/request_reader.py
@@ -78,7 +78,6 @@
         raw_bytes: bytes received since the last complete request, including chunk framing.
         head_size: bytes of the arriving request's head so far.
         input: received bytes that are not parsed yet.
-        first_read: number of the read in which the arriving request began.
         over_limit: the connection exceeds the server's limit; its further requests are rejected.
         is_pipelined: the arriving request was sent before an earlier one on the connection had its response.
         next_step_bytes: body size at which the request timeout restarts.
@@ -94,7 +93,6 @@
     __slots__ = (
         "body",
         "early_request",
-        "first_read",
         "head_done",
         "head_size",
         "headers",
@@ -124,7 +122,6 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = RequestBody()
         self.input = InputBuffer()
-        self.first_read = 0
         self.over_limit = False
         self.parses_backlog = False
         self.is_pipelined = False
@@ -151,16 +148,6 @@
         body = self.body
         return body.length - body.received_bytes if self.head_done and body.length is not None else 0
 
-    @property
-    def _received_at(self) -> float:
-        """Return when the bytes that are parsed now were received (monotonic, s).
-
-        A request that lay whole in the socket while reading was paused counts from the earliest time at which
-        it may have arrived. A request that arrives in several reads was not whole before the last of them.
-        """
-        received = self.input
-        return received.arrived_at if self.first_read == received.read_number else received.read_at
-
     def _parse_input(self, data: bytes | memoryview) -> BadRequestError | None:
         """Parse received bytes, and return the error that makes further input unreadable.
 
@@ -188,7 +175,6 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
         self.in_message = True
-        self.first_read = self.input.read_number
         self.is_pipelined = self.parses_backlog
         self.target = b""
         self.headers = []
@@ -319,7 +305,7 @@
             self.target,
             self.headers,
             self.body,
-            self._received_at,
+            self.input.arrived_at,
             self.server.idempotency_by_class,
             self.server.consumed_headers,
         )
@@ -335,7 +321,7 @@
         self.progress_at = self.input.read_at  # Start time of a request that follows in the same read.
         body = self.body
         if self.early_request is not None:
-            self.early_request.received_at = self._received_at
+            self.early_request.received_at = self.input.arrived_at
             self.headers = []
             if self.state_table is not None:
                 self.server.set_state(self, None if self.response_due else self.state_table)
--- a/service_proxy/net/downstream/turn_reader.py
+++ b/service_proxy/net/downstream/turn_reader.py
@@ -12,19 +12,24 @@
 
 import httptools
 
+from service_proxy.net.arrival_times import ArrivalTimes
 from service_proxy.net.downstream.input_buffer import ReceivedBytes
 from service_proxy.net.downstream.read_turns import ReadTurns
 from service_proxy.net.downstream.request import BadRequestError, Request
 from service_proxy.net.downstream.request_parser import MAX_BUFFERED_BODY_BYTES
 from service_proxy.net.downstream.request_reader import MAX_POOLED_BODY_BYTES, ReaderServer, RequestReader
 from service_proxy.net.request_body import STREAM_WINDOW_BYTES
-from service_proxy.net.socket_polling import has_input
+from service_proxy.net.socket_polling import has_input, unread_bytes
 
 REQUEST_READ_BYTES = 16 * 1024  # Bytes of one read, unless more content of a body is expected.
 MIN_READ_BYTES = 4 * 1024  # Minimum of the bytes that one read may take.
 REJECTED_READ_BYTES = 4 * 1024  # The same for a connection whose requests are rejected.
 MAX_REQUESTS_PER_TURN = 8
-MAX_SLICES_PER_TURN = 256  # Slices of input that are parsed in one turn.
+MAX_PARSED_PER_TURN_BYTES = 16 * 1024  # Input, other than content of a body of known length.
+MAX_PARSED_ON_ARRIVAL_BYTES = 8 * 1024  # Such input that is parsed as it arrives.
+# Content of a body of known length that is read before the connection waits for its turn. Such bytes are only
+# copied.
+MAX_CONTENT_PER_TURN_BYTES = 256 * 1024
 
 
 class TurnReaderServer(ReaderServer, Protocol):
@@ -39,34 +44,31 @@
     """Reading side of a client connection.
 
     Attributes:
+        arrival_times: bounds of when bytes have arrived that are read later.
         awaits_turn: the connection waits for its turn in `ReadTurns`.
+        content_since_turn: bytes of content that were read since the last turn.
         current_request: the request that awaits its response, if it is well-formed and no upgrade request.
         discarding_input: further input is read and discarded, so that the client receives the response.
         is_closing: the last response has been written, or the connection is aborted, detached or lost.
         input_waited: the buffered input arrived before the last response.
         is_parsing: buffered input is being parsed.
-        last_read_filled_buffer: the last read took all that it could, so that more may lie in the socket.
-        paused_at: earliest time at which bytes behind the last read may have arrived (monotonic, s).
         read_bytes_limit: number of bytes that the next read may take.
         read_paused: the proxy has paused reading from the client.
-        unread_since: earliest time at which bytes in the socket may have arrived (monotonic, s); 0: they have
-            not arrived before the next read.
         upgrade_pending: an upgrade request awaits its response.
         write_blocked: the write buffer is full because the client does not read.
     """
 
     __slots__ = (
+        "arrival_times",
         "awaits_turn",
+        "content_since_turn",
         "current_request",
         "discarding_input",
         "input_waited",
         "is_closing",
         "is_parsing",
-        "last_read_filled_buffer",
-        "paused_at",
         "read_bytes_limit",
         "read_paused",
-        "unread_since",
         "upgrade_pending",
         "write_blocked",
     )
@@ -75,17 +77,16 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self.arrival_times = ArrivalTimes()
         self.awaits_turn = False
+        self.content_since_turn = 0
         self.current_request: Request | None = None
         self.discarding_input = False
         self.input_waited = False
         self.is_closing = False
         self.is_parsing = False
-        self.last_read_filled_buffer = False
-        self.paused_at = 0.0
         self.read_bytes_limit = REQUEST_READ_BYTES
         self.read_paused = False
-        self.unread_since = 0.0
         self.upgrade_pending = False
         self.write_blocked = False
 
@@ -125,36 +126,47 @@
         if self.upgrade_pending:
             self._reject_early_frames()
             return
+        transport = self.transport
+        assert transport is not None
         now = time.monotonic()
-        arrived_at = self.unread_since or now
-        self.unread_since = 0.0
-        self.last_read_filled_buffer = nbytes >= self.read_bytes_limit
-        if self.last_read_filled_buffer:
-            self.paused_at = arrived_at
+        has_filled_buffer = nbytes >= self.read_bytes_limit
+        left = unread_bytes(transport) if has_filled_buffer else 0
+        arrived_at = self.arrival_times.on_read(nbytes, left, now)
         self.input.append(ReceivedBytes(bytes(self.server.read_buffer[:nbytes]), now, arrived_at))
         if self.awaits_turn:
             self._update_flow_control()
             return
-        if self.last_read_filled_buffer:
+        is_limit_reached = self._parse_buffered(1, MAX_PARSED_ON_ARRIVAL_BYTES)
+        if is_limit_reached or (has_filled_buffer and not self._expects_content(nbytes)):
             self._wait_for_turn()
-        self._parse_buffered(1)
+        self._update_flow_control()
         if self.state_table is self.server.idle and (self.raw_bytes or self.input.size):
             self.server.set_state(self, self.server.awaiting_request)  # A further request has begun.
 
+    def _expects_content(self, nbytes: int) -> bool:
+        """Count bytes that were read, and return whether more content may be read before the next turn."""
+        if not self._content_left or self.is_pipelined or self.over_limit:
+            return False
+        self.content_since_turn += nbytes
+        return self.content_since_turn <= MAX_CONTENT_PER_TURN_BYTES
+
     # Turns
     def _wait_for_turn(self) -> None:
         """Wait for the connection's turn to parse its buffered input and to read on."""
         if not self.awaits_turn:
             self.awaits_turn = True
-            self.server.read_turns.wait(self)
+            self.server.read_turns.wait(self, is_backlog=self.is_pipelined or not self.in_message)
 
     def on_read_turn(self) -> None:
         """Parse buffered input, and read from a client that filled the read buffer."""
         self.awaits_turn = False
         if self.is_closing:
             return
+        self.content_since_turn = 0
         self.parses_backlog = True
-        self._parse_buffered(MAX_REQUESTS_PER_TURN)
+        if self._parse_buffered(MAX_REQUESTS_PER_TURN, MAX_PARSED_PER_TURN_BYTES):
+            self._wait_for_turn()
+        self._update_flow_control()
         self.parses_backlog = False
         if self.input_waited and not self.input.size:
             self.input_waited = False
@@ -171,30 +183,37 @@
         request = self.current_request
         return not self.response_due or (request is not None and not request.body.is_complete)
 
-    def _parse_buffered(self, max_requests: int) -> None:
-        """Parse buffered input and dispatch its requests, within the limits of one turn."""
+    def _parse_buffered(self, max_requests: int, max_bytes: int) -> bool:
+        """Parse buffered input and dispatch its requests; return whether a limit was reached.
+
+        Args:
+            max_requests: number of requests that may be completed.
+            max_bytes: number of bytes, other than content of a body of known length, that may be parsed.
+        """
         self.is_parsing = True
         last_request = self.requests_read + max_requests
-        slices = 0
-        while self._can_parse:
-            if self.requests_read >= last_request or slices == MAX_SLICES_PER_TURN:
-                self._wait_for_turn()
+        parsed_bytes = 0
+        while is_limited := self._can_parse:
+            if self.requests_read >= last_request or parsed_bytes >= max_bytes:
                 break
-            slices += 1
-            self._parse_next_slice()
+            content_bytes = self._content_left
+            size = self._parse_slice(content_bytes)
+            parsed_bytes += 0 if content_bytes else size
             self._dispatch_next()
         self.is_parsing = False
-        self._update_flow_control()
+        return is_limited
 
-    def _parse_next_slice(self) -> None:
-        data = self.input.take_slice(self._content_left)
+    def _parse_slice(self, content_bytes: int) -> int:
+        """Parse the next slice, and return its length."""
+        data = self.input.take_slice(content_bytes)
         try:
             error = self._parse_input(data)
         except httptools.HttpParserUpgrade as upgrade:
             self._start_upgrade(len(data) > upgrade.args[0] or self.input.size > 0)
-            return
+            return len(data)
         if error is not None:
             self._reject_input(error)
+        return len(data)
 
     # Flow control
     def _update_flow_control(self) -> None:
@@ -205,13 +224,11 @@
         has_buffers_full = self.body.is_full or self.input.is_full
         pause = self.write_blocked or self.awaits_turn or has_buffers_full
         if pause and not self.read_paused:
-            if not self.last_read_filled_buffer:
-                self.paused_at = self.unread_since or time.monotonic()
+            self.arrival_times.observe(unread_bytes(transport), time.monotonic())
             transport.pause_reading()
         elif self.read_paused and not pause:
-            # Bytes in the socket may have arrived at any time since reading was paused.
-            self.unread_since = self.paused_at if has_input(transport) else 0.0
-            self.last_read_filled_buffer = False
+            if not has_input(transport):
+                self.arrival_times.clear()
             transport.resume_reading()
             if self._is_streaming_body and self.state_table is not None:
                 # The client could not send while reading was paused, so the request timeout restarts.
--- a/service_proxy/websocket/connection.py
+++ b/service_proxy/websocket/connection.py
@@ -172,7 +172,7 @@
         """Wait for the connection's turn to process the data that was already received."""
         if not self.awaits_turn and self.transport is not None:
             self.awaits_turn = True
-            self.read_turns.wait(self)
+            self.read_turns.wait(self, is_backlog=True)
 
     def on_read_turn(self) -> None:
         """Process data that has waited for the connection's turn."""
--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -49,6 +49,8 @@
 USUAL_REQUESTS = 16
 # Iterations of the event loop that a usual request takes: the test sends, the server reads and responds.
 MAX_ITERATIONS_PER_REQUEST = 3
+USUAL_BODY_BYTES = 60_000
+USUAL_BODY_READS = 4  # Reads and turns for a body of this length beyond those of a short request.
 HIGH_WATER_BYTES = 64 * 1024  # Bytes in asyncio's write buffer from which the client does not keep up.
 
 
@@ -145,6 +147,33 @@
     uvloop.run(test())
 
 
+@pytest.mark.parametrize("form", ["valid", "unknown", "small-bodies", "chunks"])
+def test_a_request_with_a_body_does_not_wait_for_the_turns_of_a_flood(form: str) -> None:
+    """Guards against late usual requests, because each read of a body waits behind all floods."""
+
+    async def test() -> None:
+        handler = CountingHandler()
+        async with listening(handler) as (server, address):
+            usual = socket.create_connection(address)
+            usual.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * USUAL_BODY_BYTES)
+            usual.setblocking(False)
+            loop = asyncio.get_running_loop()
+            flood = [connect_and_send(address, flood_of(FORMS[form], n)) for n in range(FLOOD_CLIENTS)]
+            requests = USUAL_REQUESTS // 4
+            for number in range(requests):
+                head = post_head(f"{number:016x}", USUAL_BODY_BYTES)
+                await loop.sock_sendall(usual, head + bytes(USUAL_BODY_BYTES))
+                async with asyncio.timeout(TEST_TIMEOUT_S):
+                    assert b" 200 " in await loop.sock_recv(usual, 1000)
+            answered = sum(connection.requests_read for connection in server.connections)
+            turns = (MAX_ITERATIONS_PER_REQUEST + USUAL_BODY_READS) * requests
+            assert answered <= FLOOD_CLIENTS + requests + turns * MAX_REQUESTS_PER_TURN
+            for client in (*flood, usual):
+                client.close()
+
+    uvloop.run(test())
+
+
 def test_a_client_that_reads_no_responses_gets_no_further_ones() -> None:
     """Guards against responses to pipelined requests that pile up in the write buffer."""
 
@@ -239,8 +268,26 @@
             handler.writers[0].respond(200, (), b"")
             await handler.wait_for(count)
             late = [request for request in handler.requests if request.received_at > sent_by]
-            # Only a request that is split by the end of a read counts from the read that completes it.
-            assert len(late) <= 4
+            assert not late
+            client.close()
+
+    uvloop.run(test())
+
+
+def test_a_body_that_waited_in_the_socket_counts_from_its_arrival() -> None:
+    """Guards against a deadline that begins with the last read of a request that takes several reads."""
+
+    async def test() -> None:
+        handler = CountingHandler(is_holding=True)
+        async with listening(handler) as (_, address):
+            head = post_head("a" * 16, USUAL_BODY_BYTES)
+            client = connect_and_send(address, get_request("0") + head + bytes(USUAL_BODY_BYTES))
+            await handler.wait_for(1)
+            sent_by = time.monotonic()
+            await asyncio.sleep(0.3)  # The body waits meanwhile, most of it unread in the socket.
+            handler.writers[0].respond(200, (), b"")
+            await handler.wait_for(2)
+            assert handler.requests[1].received_at <= sent_by
             client.close()
 
     uvloop.run(test())
