A connection whose requests are rejected takes no place of a served one

Cause: where all served connections are in use, each new one makes a flood give way, whose requests are rejected from then on. That connection still counted as a served one, so after some seconds no flood was left to give way and each new client was rejected.

Change: connections that are not rejected count as served, all of them against the limit of all connections, as their memory was planned.

Test: test_a_rejected_flood_takes_no_place_of_a_served_connection failed before. test_client_floods.py: 31 passed.

--- a/service_proxy/net/downstream/http_server.py
+++ b/service_proxy/net/downstream/http_server.py
@@ -169,13 +169,23 @@
         connection is aborted.
         """
         self.connections.add(connection)
-        if len(self.connections) > self.max_served_connections and not self._evict_one():
+        if self._has_too_many_connections and not self._evict_one():
             if len(self.connections) > self.max_connections:
                 connection.abort()
                 return
             self._pipelining_connection(connection).over_limit = True
         self.set_state(connection, self.awaiting_request)
 
+    @property
+    def _has_too_many_connections(self) -> bool:
+        """Return whether there are more connections, or more served ones, than their limits allow."""
+        if len(self.connections) <= self.max_served_connections:
+            return False
+        if len(self.connections) > self.max_connections:
+            return True
+        served = sum(not connection.over_limit for connection in self.connections)
+        return served > self.max_served_connections
+
     def _pipelining_connection(self, default: DownstreamConnection) -> DownstreamConnection:
         """Return a served connection on which requests wait behind another one, or the default."""
         pipelining = (c for c in self.connections if c.input.size and not (c.over_limit or c.in_message))
--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -341,6 +341,31 @@
     uvloop.run(test())
 
 
+def test_a_rejected_flood_takes_no_place_of_a_served_connection() -> None:
+    """Guards against usual clients that are rejected one by one, after each has made a flood give way."""
+
+    async def test() -> None:
+        handler = CountingHandler(is_holding=True)
+        async with listening(handler) as (server, address):
+            server.max_served_connections = 3
+            server.max_connections = 8
+            flood = [connect_and_send(address, flood_of(get_stock, n)[:3000]) for n in range(3)]
+            await handler.wait_for(3)
+            for number in range(6):
+                usual = connect_and_send(address, get_request(f"f{number}"))
+                await handler.wait_for(4 + number)
+                assert handler.requests[-1].id.endswith(f"f{number}".encode())
+                assert sum(connection.over_limit for connection in server.connections) == 1
+                usual.close()
+                async with asyncio.timeout(TEST_TIMEOUT_S):
+                    while len(server.connections) > len(flood):
+                        await asyncio.sleep(0)
+            for client in flood:
+                client.close()
+
+    uvloop.run(test())
+
+
 @pytest.mark.parametrize("memory_mb", [48, 64, 96, 192])
 def test_clients_with_a_third_of_the_descriptors_find_a_connection(memory_mb: float) -> None:
     """Guards against connections that are aborted for memory that rejected requests do not need."""
