The deadline of the shutdown applies to streamed responses, too

Callers saw: an HTTP/1.0 client whose response is streamed when the proxy gets SIGTERM, with a deadline behind the shutdown's, sees a cut response as a whole one, because the process ends and the connection with it.

Cause: the deadline of the shutdown was set for the requests in the table; a streamed response has left it and has a timer of its own. An abort of a connection with unsent bytes of such a response did not reset it either.

DownstreamConnection.abort resets a connection whose response ends with it and is not sent whole.

--- a/service_proxy/net/downstream/connection.py
+++ b/service_proxy/net/downstream/connection.py
@@ -331,9 +331,7 @@
         """Abort the connection, so that the client detects that a streamed response is incomplete."""
         self.response_source = None
         self._end_request(GATEWAY_TIMEOUT if is_overdue else BAD_GATEWAY)
-        if self.response_ends_at_close and self.transport is not None:
-            reset_on_close(self.transport)
-        self.abort()
+        self._abort(is_response_cut=True)
 
     def _end_request(self, status_code: int) -> None:
         """Clear the open request, release its memory, and count the request."""
@@ -464,6 +462,14 @@
 
     def abort(self) -> None:
         """Close the connection immediately."""
+        self._abort(is_response_cut=self.response_source is not None or self.unsent_bytes > 0)
+
+    def _abort(self, is_response_cut: bool) -> None:
+        """Close the connection; reset it if it would otherwise make a cut response look complete."""
         self.is_closing = True
-        if self.transport is not None:
-            self.transport.abort()
+        transport = self.transport
+        if transport is None:
+            return
+        if is_response_cut and self.response_ends_at_close:
+            reset_on_close(transport)
+        transport.abort()
--- a/service_proxy/net/open_request_table.py
+++ b/service_proxy/net/open_request_table.py
@@ -30,6 +30,7 @@
 
     Attributes:
         requests: Open requests by the request id of the policy.
+        streamed_responses: Responses that are being streamed; their requests are not open any more.
         attempts_in_flight: Attempts by the request id of the policy, including attempts whose client has
             disconnected.
         ids_in_use: X-Call-Ids of open requests and of attempts still in flight.
@@ -41,6 +42,7 @@
         self.loop = get_running_loop()
         self.enqueue_event = enqueue_event
         self.requests: dict[int, OpenRequest] = {}
+        self.streamed_responses: set[StreamedResponse] = set()
         self.attempts_in_flight: dict[int, UpstreamAttempt] = {}
         self.ids_in_use: set[bytes] = set()
         self.deadline_by_class: Mapping[str, float] = {}
@@ -53,8 +55,10 @@
         self.start_deadline_timer(open_request)
 
     def set_shutdown_deadline(self, shutdown_deadline: float) -> None:
-        """Limit the deadline of every open request to the shutdown deadline (monotonic, s)."""
+        """Limit every open request and streamed response to the shutdown deadline (monotonic, s)."""
         self.shutdown_deadline = shutdown_deadline
+        for response in self.streamed_responses:
+            response.limit_deadline(shutdown_deadline)
         for open_request in self.requests.values():
             open_request.deadline = min(open_request.deadline, shutdown_deadline)
             self.start_deadline_timer(open_request)
@@ -153,7 +157,8 @@
         self, open_request: OpenRequest, headers: Any, length: int | None, source: ResponseSource
     ) -> None:
         """Stream the final response after removing the request; the request's deadline applies to its end."""
-        response = StreamedResponse(source, open_request.deadline)
+        response = StreamedResponse(source, open_request.deadline, self.streamed_responses.discard)
+        self.streamed_responses.add(response)
         open_request.streamed_response = response
         self.finish(open_request, True)
         open_request.writer.stream(headers, length, response)
--- a/service_proxy/net/streamed_response.py
+++ b/service_proxy/net/streamed_response.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import time
+from collections.abc import Callable
 
 from service_proxy.net.limits import LOOP_ITERATION_S, LOOP_STALL_S
 from service_proxy.net.protocols import ResponseSink, ResponseSource
@@ -18,13 +19,17 @@
     Args:
         source: source of the body.
         deadline: time by which the body has to be complete (monotonic, s); infinity: set later.
+        on_end: called once with this object when the body is complete, has failed or is discarded.
     """
 
-    __slots__ = ("_deadline", "_loop", "_sink", "_source", "_timer")
+    __slots__ = ("_deadline", "_loop", "_on_end", "_sink", "_source", "_timer")
 
-    def __init__(self, source: ResponseSource, deadline: float) -> None:
+    def __init__(
+        self, source: ResponseSource, deadline: float, on_end: Callable[[StreamedResponse], None]
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         self._source = source
+        self._on_end = on_end
         self._sink: ResponseSink | None = None
         self._deadline = math.inf
         self._timer: asyncio.TimerHandle | None = None
@@ -56,10 +61,11 @@
             sink.fail(is_overdue=True)
 
     def _end(self) -> ResponseSink | None:
-        """Stop the timer, and return the sink, which receives nothing more from now on."""
+        """Stop the timer, and return the sink, which receives nothing more; a second call has no effect."""
         self._deadline = -math.inf
         self._cancel_timer()
         sink, self._sink = self._sink, None
+        self._on_end(self)
         return sink
 
     # net.protocols.ResponseSource methods, called by the client's side
--- a/tests/net/test_graceful_shutdown.py
+++ b/tests/net/test_graceful_shutdown.py
@@ -198,6 +198,27 @@
     run_async(test())
 
 
+def test_a_response_without_length_that_is_cut_by_the_shutdown_does_not_look_complete() -> None:
+    """Guards against a cut response that an HTTP/1.0 client takes for a whole one, as the process ends."""
+
+    async def respond(_received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+        await asyncio.sleep(TEST_TIMEOUT_S)
+
+    async def test() -> None:
+        async with proxy_under_test({"s-1": EndpointServer(respond)}, **long_timeout_settings()) as proxy:
+            client = await proxy.connect()
+            client.writer.write(b"GET /stock HTTP/1.0\r\nX-Call-Id: a\r\nX-Budget: 9000m\r\n\r\n")
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                assert (await client.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+                proxy.terminate(KILL_AFTER_S)
+                with pytest.raises(ConnectionResetError):
+                    await client.reader.read(-1)
+            assert await proxy.exit_code() == 0
+
+    run_async(test())
+
+
 def test_responses_that_no_client_reads_do_not_delay_the_exit_beyond_the_kill() -> None:
     async def test() -> None:
         async def respond(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
