Tests parse source files with the garbage collector off

Seen once: test_functions_are_short failed with SystemError, "AST constructor recursion depth mismatch", in a process in which tests of sockets had run.

Cause: CPython 3.11 raises it if a garbage collection during ast.parse runs a finalizer that parses. Connections that earlier tests left behind report "Event loop is closed" from __del__, and the report of a traceback parses its lines.

The checks are the same.

--- a/tests/policy/test_module_limits.py
+++ b/tests/policy/test_module_limits.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import pytest
+from source_files import parse_source
 
 ROOT = Path(__file__).parent.parent.parent
 POLICY = ROOT / "service_proxy" / "policy"
@@ -20,7 +21,7 @@
 
 
 def tree_of(module: Path) -> ast.Module:
-    return ast.parse(module.read_text("utf-8"))
+    return parse_source(module)
 
 
 def imported_names(module: Path) -> set[str]:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import pytest
+from source_files import parse_source
 
 ROOT = Path(__file__).parent.parent
 PACKAGE = ROOT / "service_proxy"
@@ -32,7 +33,7 @@
     """
     names: set[str] = set()
     for file in PACKAGE.rglob("*.py"):
-        for node in ast.parse(file.read_text(encoding="utf-8")).body:
+        for node in parse_source(file).body:
             if isinstance(node, ast.ClassDef | ast.FunctionDef | ast.AsyncFunctionDef):
                 names |= {node.name, f"{file.stem}.{node.name}"}
             if isinstance(node, ast.ClassDef):
--- a/tests/test_log_lines.py
+++ b/tests/test_log_lines.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from source_files import parse_source
+
 ROOT = Path(__file__).parent.parent
 PACKAGE = ROOT / "service_proxy"
 TABLE = ROOT / "docs" / "operators" / "oncall.md"
@@ -39,7 +41,7 @@
 
 def calls_in(file: Path) -> Iterator[LogCall]:
     place = str(file.relative_to(PACKAGE))
-    for node in ast.walk(ast.parse(file.read_text(encoding="utf-8"))):
+    for node in ast.walk(parse_source(file)):
         if not (isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute)):
             continue
         if not (isinstance(node.func.value, ast.Name) and node.func.value.id == "log"):
@@ -55,7 +57,7 @@
 def fleet_lines() -> Iterator[LogCall]:
     """Yield the lines of fleet/log_lines.py, where each function has the name of its event."""
     file = PACKAGE / "fleet" / "log_lines.py"
-    for function in ast.parse(file.read_text(encoding="utf-8")).body:
+    for function in parse_source(file).body:
         if isinstance(function, ast.FunctionDef):
             texts = [text_of(node) for node in ast.walk(function) if isinstance(node, ast.expr)]
             template = max((text for text in texts if text.startswith(function.name)), key=len)
@@ -66,7 +68,7 @@
 def merger_notes() -> Iterator[LogCall]:
     """Yield the lines that the merger of endpoint lists records; all of them are written at one level."""
     file = PACKAGE / "ephemeral_nodes" / "merger.py"
-    for node in ast.walk(ast.parse(file.read_text(encoding="utf-8"))):
+    for node in ast.walk(parse_source(file)):
         if isinstance(node, ast.JoinedStr) and FORM.fullmatch(text_of(node)) and "=" in text_of(node):
             yield LogCall(f"ephemeral_nodes/merger.py:{node.lineno}", "info", text_of(node))
 
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -5,6 +5,8 @@
 import ast
 from pathlib import Path
 
+from source_files import parse_source
+
 ROOT = Path(__file__).parent.parent
 FOLDERS = ("service_proxy", "granitepoint", "harness", "benchmarks")
 MAX_MODULE_LINES = 500
@@ -37,7 +39,7 @@
             else:
                 visit(child, prefix)
 
-    visit(ast.parse(file.read_text(encoding="utf-8")), "")
+    visit(parse_source(file), "")
     return found
 
 
