--- a/service_proxy/net/arrival_times.py
+++ b/service_proxy/net/arrival_times.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import NamedTuple
 
 MAX_OBSERVATIONS = 16  # Observations that are kept for one socket.
@@ -26,7 +25,7 @@
     __slots__ = ("_observations", "_read_bytes")
 
     def __init__(self) -> None:
-        self._observations: deque[Observation] = deque()
+        self._observations: list[Observation] = []
         self._read_bytes = 0
 
     def on_read(self, size: int, unread_bytes: int, now: float) -> float:
@@ -39,7 +38,7 @@
         """
         observations = self._observations
         while len(observations) > 1 and observations[1].arrived_bytes <= self._read_bytes:
-            observations.popleft()
+            del observations[0]
         arrived_at = observations[0].time if observations else now
         if unread_bytes:
             if not observations:
--- a/service_proxy/websocket/connection.py
+++ b/service_proxy/websocket/connection.py
@@ -183,10 +183,9 @@
 
     def _process(self, max_messages: int) -> None:
         """Process received frames, at most this number of complete messages; the rest waits for a turn."""
-        is_all_processed = True
+        has_more = False
         try:
-            self._process_frames(max_messages)
-            is_all_processed = self.is_paused or not self.codec.has_event()
+            has_more = self._process_frames(max_messages)
         except ProtocolViolationError as error:
             self.fail(error.close_code, str(error))
         if self.pending_pong is not None:
@@ -194,16 +193,15 @@
             self.pending_pong = None
             if self.state is not ClosingState.CLOSED:
                 self._write(self.codec.encode_pong(data))
-        if not is_all_processed and self.state is not ClosingState.CLOSED:
+        if has_more and self.state is not ClosingState.CLOSED:
             self._wait_for_turn()
         self._update_reading()
 
-    def _process_frames(self, max_messages: int) -> None:
-        """Process received frames until a limit is reached or the owner accepts no more."""
-        messages = 0
-        for frames, event in enumerate(self.codec.events(), 1):
-            if self.state is ClosingState.CLOSED:
-                break
+    def _process_frames(self, max_messages: int) -> bool:
+        """Process received frames; return whether a limit was reached and more frames wait for a turn."""
+        frames = messages = 0
+        while self.state is not ClosingState.CLOSED and (event := self.codec.next_event()) is not None:
+            frames += 1
             if isinstance(event, MessageFragment):
                 # After this side's close frame, only the peer's close frame matters.
                 if self.state is ClosingState.OPEN:
@@ -213,9 +211,12 @@
             else:
                 self._transition(ClosingEvent.CLOSE_RECEIVED, event.code, event.reason)
                 break
-            messages += isinstance(event, MessageFragment) and event.is_last
-            if frames == MAX_FRAMES_PER_TURN or messages == max_messages or self.is_paused:
+            if self.is_paused:
                 break
+            messages += isinstance(event, MessageFragment) and event.is_last
+            if frames == MAX_FRAMES_PER_TURN or messages == max_messages:
+                return self.codec.has_event()
+        return False
 
     def _on_control_frame(self, event: PingFrame | PongFrame) -> None:
         if not self.control_bucket.take(self.received_at, CONTROL_FRAMES_PER_S, CONTROL_FRAME_BURST):
--- a/service_proxy/websocket/frame_codec.py
+++ b/service_proxy/websocket/frame_codec.py
@@ -139,29 +139,40 @@
         Raises:
             ProtocolViolationError: The peer has violated the protocol or a limit.
         """
-        while self.has_event():
-            event = self._next_event
-            assert event is not None
-            self._next_event = None
+        while (event := self.next_event()) is not None:
             yield event
 
+    def next_event(self) -> FrameEvent | None:
+        """Return the next received frame or part of a frame, or None if no complete one is left.
+
+        Raises:
+            ProtocolViolationError: The peer has violated the protocol or a limit.
+        """
+        event = self._next_event
+        if event is None:
+            return self._decode()
+        self._next_event = None
+        return event
+
     def has_event(self) -> bool:
-        """Return whether a received frame, or a part of one, is left for `events`.
+        """Return whether `next_event` will return one.
 
         Raises:
             ProtocolViolationError: The peer has violated the protocol or a limit.
         """
         if self._next_event is None:
-            try:
-                frame = next(self._frames.received_frames(), None)
-            except ParseFailed as violation:
-                limit_violation = self._limits.violation
-                self._limits.violation = None
-                error = limit_violation or ProtocolViolationError(int(violation.code), str(violation))
-                raise error from None
-            self._next_event = None if frame is None else self._event(frame)
+            self._next_event = self._decode()
         return self._next_event is not None
 
+    def _decode(self) -> FrameEvent | None:
+        try:
+            frame = next(self._frames.received_frames(), None)
+        except ParseFailed as violation:
+            limit_violation = self._limits.violation
+            self._limits.violation = None
+            raise (limit_violation or ProtocolViolationError(int(violation.code), str(violation))) from None
+        return None if frame is None else self._event(frame)
+
     @staticmethod
     def _event(frame: Frame) -> FrameEvent:
         opcode = frame.opcode
