After a power loss a repeat without a record fails at once

Cause: each proxy records its own requests, and one without a record takes the key as new, while the endpoints have lost their memory. While the outage was undetermined, such a repeat was rejected with 503, which promises that nothing ran.

Change: after a power loss of a zone or the fleet, or while the outage is undetermined, a repeat that its client marks (X-Again) and that this proxy has no record of is answered 504 at once, for the class's deadline and window after the start. Other requests and restarts of one process or machine are as before.

--- a/service_proxy/recovery/admission.py
+++ b/service_proxy/recovery/admission.py
@@ -11,14 +11,20 @@
 from service_proxy.net.http_status import GATEWAY_TIMEOUT, SERVICE_UNAVAILABLE
 from service_proxy.net.request_filters import Rejection, RequestFilterState
 from service_proxy.policy.events import EarlierExecution
-from service_proxy.policy.settings_types import Settings
+from service_proxy.policy.settings_types import Idempotency, Settings
 from service_proxy.recovery.endpoint_override import EndpointListOverride
 from service_proxy.recovery.keyed_requests import KeyedRequestLog, KeyedRequestTracker, record_key
 from service_proxy.recovery.persisted_records import KeyedRequestRecord
-from service_proxy.recovery.phases import ADMISSION_BY_PHASE, AdmissionMode, RecoveryPhase
+from service_proxy.recovery.phases import ADMISSION_BY_PHASE, WIDE_OUTAGES, AdmissionMode, RecoveryPhase
 from service_proxy.recovery.retry_after import RetryAfterSchedule
 from service_proxy.recovery.staggered_start import IMMEDIATE_STARTS
-from service_proxy.recovery.validity_rules import RestartContext, RetryPermission, retry_permission
+from service_proxy.recovery.unknown_repeats import UnknownRepeats
+from service_proxy.recovery.validity_rules import (
+    OutageScope,
+    RestartContext,
+    RetryPermission,
+    retry_permission,
+)
 
 MAY_HAVE_BEEN_EXECUTED = b"it may have run before the power was lost; ask what became of it\n"
 NO_ENDPOINT_ANSWERS = b"no server answers yet\n"
@@ -62,6 +68,7 @@
         self.schedule = schedule
         self.keyed_requests = keyed_requests
         self.restart_context = restart_context
+        self.unknown_repeats = UnknownRepeats(time.monotonic())
         self.phase = RecoveryPhase.UNAVAILABLE
         self.dispatcher: OpenRequestCounter | None = None
 
@@ -75,6 +82,8 @@
         self, request: Request, _abandon: Callable[[], None]
     ) -> RequestFilterState | Rejection | None:
         """Reject a request that can't be served or must not be repeated, or track a keyed request."""
+        if request.idempotency_key and self._may_have_run_through_others(request):
+            return Rejection(MAY_HAVE_BEEN_EXECUTED, GATEWAY_TIMEOUT)
         if self.phase is not RecoveryPhase.STEADY:
             rejection = self._rejection(request)
             if rejection is not None:
@@ -94,6 +103,22 @@
                 return Rejection(MAY_HAVE_BEEN_EXECUTED, GATEWAY_TIMEOUT)
         return KeyedRequestTracker(keyed_requests, key, request.class_name, earlier)
 
+    def _may_have_run_through_others(self, request: Request) -> bool:
+        """Return whether another proxy may have sent a client's keyed request before a wide power loss."""
+        keyed_requests = self.keyed_requests
+        outage = self.restart_context().outage
+        is_undetermined = outage is OutageScope.UNKNOWN and self.phase is not RecoveryPhase.STEADY
+        if keyed_requests is None or not (outage in WIDE_OUTAGES or is_undetermined):
+            return False
+        request_class = keyed_requests.classes.get(request.class_name)
+        if request_class is None or request_class.idempotency is not Idempotency.IDEMPOTENT_WITH_KEY:
+            return False
+        key = record_key(request.class_name, request.idempotency_key)
+        if keyed_requests.is_recorded(key):
+            return False
+        longest_memory = request_class.deadline + request_class.idempotency_window
+        return self.unknown_repeats.may_have_run(key, request.is_retry, longest_memory, time.monotonic())
+
     def _rejection(self, request: Request) -> Rejection | None:
         mode = ADMISSION_BY_PHASE[self.phase]
         if mode is AdmissionMode.NONE and not self.settings.can_check_health:
--- a/service_proxy/recovery/keyed_requests.py
+++ b/service_proxy/recovery/keyed_requests.py
@@ -75,6 +75,10 @@
             return record
         return None
 
+    def is_recorded(self, key: str) -> bool:
+        """Return whether this proxy has sent a request with this key, in this process or before."""
+        return key in self.active or key in self.restored
+
     def record(self, key: str, class_name: str, endpoint_id: int) -> KeyedRequestRecord | None:
         """Record that a request may be executed by an endpoint from now on, and return the record.
 
