A session that has no room for outcomes keeps their results

Cause: whole outcomes were discarded above 8 KiB, though the result without the body takes some 100 bytes, and nothing in the process confines a repeat. Stored texts were counted in characters of up to four bytes.

Change: above the limits bodies are dropped, the oldest first, the results stay. Outcomes are stored in ASCII.

Tests: a property over 1 to 32 outcomes of any size (it finds lost outcomes on the code before), and two more.

--- a/service_proxy/websocket/message_framing.py
+++ b/service_proxy/websocket/message_framing.py
@@ -194,6 +194,11 @@
     return _json(fields)
 
 
+def in_ascii(text: str) -> str:
+    """Return an encoded message in ASCII; other characters are escaped."""
+    return text if text.isascii() else json.dumps(json.loads(text), separators=(",", ":"))
+
+
 def _outcome_of(status_code: int) -> str:
     if status_code == OK:
         return "served"
--- a/service_proxy/websocket/message_session.py
+++ b/service_proxy/websocket/message_session.py
@@ -405,12 +405,10 @@
         writer.request_handle = None
         number = session.settle(message_id)
         text = message_framing.encode_outcome(number, message_id, status_code, body, retry_after)
-        stored = text
-        if len(text) > MAX_OUTCOME_BYTES:
-            stored = message_framing.encode_outcome(
-                number, message_id, status_code, b"", retry_after, is_body_dropped=True
-            )
-        self.registry.store(session, Outcome(number, message_id, stored))
+        outcome = Outcome(number, message_id, message_framing.in_ascii(text), status_code, retry_after)
+        if len(outcome.text) > MAX_OUTCOME_BYTES:
+            outcome.drop_body()
+        self.registry.store(session, outcome)
         connection = session.connection
         if connection is not None:
             connection.send(text)
--- a/service_proxy/websocket/session_registry.py
+++ b/service_proxy/websocket/session_registry.py
@@ -14,6 +14,8 @@
 from enum import Enum
 from typing import Any
 
+from service_proxy.websocket.message_framing import encode_outcome
+
 MAX_STORED_OUTCOMES = 32  # Stored outcomes per session.
 # Bytes of a session's stored outcomes together; the last outcome may exceed the limit.
 MAX_STORED_BYTES = 8 * 1024
@@ -30,11 +32,33 @@
 
 @dataclass(slots=True)
 class Outcome:
-    """Outcome of a message, with the text that is sent to the client."""
+    """Outcome of a message, with the text that is sent to the client.
+
+    Attributes:
+        number: Number of the outcome in its session.
+        message_id: Id of the message.
+        text: Encoded outcome, in ASCII, so that its length is its memory.
+        status_code: Status code of the response; 0: the body can't be dropped.
+        retry_after: Time that a rejected client should wait, s.
+    """
 
     number: int
     message_id: str
     text: str
+    status_code: int = 0
+    retry_after: float = 0.0
+
+    def drop_body(self) -> int:
+        """Reduce the outcome to its result, and return the freed bytes."""
+        if not self.status_code:
+            return 0
+        size = len(self.text)
+        text = encode_outcome(
+            self.number, self.message_id, self.status_code, b"", self.retry_after, is_body_dropped=True
+        )
+        if len(text) < size:
+            self.text = text
+        return size - len(self.text)
 
 
 class MessageSession:
@@ -96,7 +120,10 @@
         return freed_bytes
 
     def store(self, outcome: Outcome, available_bytes: int) -> int:
-        """Store an outcome for a client that resumes the session; discard older outcomes above the limits.
+        """Store an outcome for a client that resumes the session.
+
+        Above the limits bodies are dropped, the oldest first, and only then are the oldest outcomes
+        discarded: a client that has the result of a message need not repeat it.
 
         Args:
             outcome: Outcome of a settled message.
@@ -108,16 +135,28 @@
         before = self.stored_bytes
         self.outcomes[outcome.number] = outcome
         self.stored_bytes += len(outcome.text)
+        self._drop_bodies(before + available_bytes)
         while len(self.outcomes) > 1 and self._exceeds_limits(before + available_bytes):
             oldest = next(iter(self.outcomes))
             self._discard(oldest)
             self.last_lost = max(self.last_lost, oldest)
+        if self.stored_bytes - before > max(0, available_bytes):
+            self.stored_bytes -= outcome.drop_body()
         # The bytes available do not suffice even for this outcome.
         if self.stored_bytes - before > max(0, available_bytes):
             self._discard(outcome.number)
             self.last_lost = outcome.number
         return self.stored_bytes - before
 
+    def _drop_bodies(self, max_bytes: int) -> None:
+        """Drop bodies above the limit of bytes, the oldest first; a single outcome keeps its body."""
+        if len(self.outcomes) == 1:
+            return
+        for outcome in self.outcomes.values():
+            if self.stored_bytes <= min(MAX_STORED_BYTES, max_bytes):
+                return
+            self.stored_bytes -= outcome.drop_body()
+
     def _exceeds_limits(self, max_bytes: int) -> bool:
         exceeds_count = len(self.outcomes) > MAX_STORED_OUTCOMES
         return exceeds_count or self.stored_bytes > min(MAX_STORED_BYTES, max_bytes)
--- a/tests/websocket/test_sessions.py
+++ b/tests/websocket/test_sessions.py
@@ -156,6 +156,48 @@
     assert registry.stored_bytes == 0
 
 
+def long_outcome(n: int, size: int) -> Outcome:
+    text = message_framing.encode_outcome(n, f"m{n}", 200, b"x" * size)
+    return Outcome(n, f"m{n}", text, 200)
+
+
+@given(sizes=st.lists(st.integers(0, MAX_STORED_BYTES), min_size=1, max_size=MAX_STORED_OUTCOMES))
+def test_the_result_of_a_message_is_stored_although_its_body_is_not(sizes: list[int]) -> None:
+    """Guards against messages that clients repeat and that run again, as their outcomes were not stored."""
+    registry = SessionRegistry(1 << 20)
+    session = registry.create("t", "", None)
+    for n, size in enumerate(sizes, 1):
+        session.pending[f"m{n}"] = None
+        registry.store(session, long_outcome(session.settle(f"m{n}"), size))
+    outcomes, lost = session.unacknowledged(0)
+    results = [json.loads(outcome.text) for outcome in outcomes]
+    assert lost == 0
+    assert [(result["id"], result["outcome"]) for result in results] == [
+        (f"m{n}", "served") for n in range(1, len(sizes) + 1)
+    ]
+    assert session.stored_bytes == sum(len(outcome.text) for outcome in outcomes)
+    assert len(sizes) == 1 or session.stored_bytes <= MAX_STORED_BYTES
+    dropped = [result.get("body_dropped", False) for result in results]
+    assert dropped == sorted(dropped, reverse=True)  # The newest bodies are kept.
+
+
+def test_a_result_is_stored_although_all_sessions_together_have_no_room_for_its_body() -> None:
+    """Guards against results that are lost for the sake of other sessions' bodies."""
+    registry = SessionRegistry(1000)
+    session = registry.create("t", "", None)
+    session.pending["m1"] = None
+    registry.store(session, long_outcome(session.settle("m1"), 2000))
+    outcomes, lost = session.unacknowledged(0)
+    assert lost == 0 and json.loads(outcomes[0].text)["body_dropped"]
+
+
+def test_a_stored_outcome_takes_a_byte_for_each_character() -> None:
+    """Guards against outcomes whose memory is four times what the limit counts."""
+    text = message_framing.encode_outcome(1, "a", 200, "\U0001f600ñ".encode())
+    assert message_framing.in_ascii(text).isascii()
+    assert json.loads(message_framing.in_ascii(text)) == json.loads(text)
+
+
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(("create", "resume", "receive", "settle", "detach", "acknowledge", "end", "expire")),
