After a response without a request, connections carry one request each

Cause: no response names its request, and a connection is used again whatever the path to its endpoint did before.

Change: a response on a connection without a request is a sign that something in the path duplicates responses (a 408, with which servers end idle connections, is none). For 300 s each connection to that endpoint carries one request. Unread input that is found before a connection is used again is read instead of discarded, so that the sign is seen there, too. Log line responses_duplicated. The interfaces of the pool are a module of their own.

--- a/service_proxy/net/upstream/cluster.py
+++ b/service_proxy/net/upstream/cluster.py
@@ -146,7 +146,9 @@
         if connection in pool.connections and not connection.has_unread_input():
             attempt.run_on(connection)
             return
-        connection.abort()
+        if connection not in pool.connections:
+            connection.abort()
+        # Otherwise the unread input is read next: it ends the connection, and may be an unrequested response.
         if attempt.status is None:
             self.start_attempt(attempt)
 
--- a/service_proxy/net/upstream/connection.py
+++ b/service_proxy/net/upstream/connection.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 import time
-from typing import Any, Protocol, cast
+from typing import Any, cast
 
 import httptools
 
@@ -21,8 +21,15 @@
 from service_proxy.net.protocols import ResponseSink
 from service_proxy.net.request_body import RequestBody
 from service_proxy.net.socket_polling import has_input
-from service_proxy.net.upstream.attempt import AttemptCluster, AttemptPool, UpgradeAttempt, UpstreamAttempt
-from service_proxy.net.upstream.response_framing import MAX_HEAD_BYTES, InvalidResponseError, response_framing
+from service_proxy.net.upstream.attempt import UpgradeAttempt, UpstreamAttempt
+from service_proxy.net.upstream.pool_protocols import ConnectionPool
+from service_proxy.net.upstream.response_framing import (
+    MAX_HEAD_BYTES,
+    STATUS_LINE_BYTES,
+    InvalidResponseError,
+    is_unrequested_response,
+    response_framing,
+)
 from service_proxy.policy.events import AttemptStatus
 
 log = logging.getLogger(__name__)
@@ -36,35 +43,6 @@
 MAX_LOGGED_ERROR_CHARS = 200
 
 
-class ConnectionCluster(AttemptCluster, Protocol):
-    """Interface of the upstream cluster that a connection requires."""
-
-    established_connections: int
-    read_buffer: memoryview
-    streaming_connections: set[UpstreamConnection]
-
-
-class ConnectionPool(AttemptPool, Protocol):
-    """Interface of an endpoint's connection pool that a connection requires."""
-
-    @property
-    def cluster(self) -> ConnectionCluster:
-        """Return the cluster of the endpoint."""
-
-    @property
-    def is_serving(self) -> bool:
-        """Return whether new attempts may be sent to the endpoint."""
-
-    def release(self, connection: UpstreamConnection) -> None:
-        """Return a reusable connection to the pool."""
-
-    def remove_idle(self, connection: UpstreamConnection) -> None:
-        """Remove a connection that cannot be reused from the idle connections."""
-
-    def connection_closed(self, connection: UpstreamConnection) -> None:
-        """Remove a closed connection from the pool."""
-
-
 class UpstreamConnection(asyncio.BufferedProtocol):
     """Connection to an endpoint that carries one attempt at a time.
 
@@ -170,7 +148,7 @@
         data = self.pool.cluster.read_buffer[:nbytes]
         self.pool.last_received_at = time.monotonic()
         if self.attempt is None and self.sink is None:
-            self.abort()  # No request is in flight, so the bytes cannot be a response.
+            self._on_unrequested_bytes(bytes(data[:STATUS_LINE_BYTES]))
             return
         self.raw_bytes += nbytes
         is_invalid = False
@@ -202,6 +180,12 @@
         elif self.body_bytes and self.response_length is None and self.buffering_timer is None:
             self._start_buffering_timer()
 
+    def _on_unrequested_bytes(self, first_bytes: bytes) -> None:
+        """Close the connection: no request is in flight, so the bytes cannot be the response to one."""
+        self.abort()
+        if is_unrequested_response(first_bytes):
+            self.pool.on_unrequested_response()
+
     def _deliver_response(self) -> None:
         """Release or close the connection, and deliver the complete response to the attempt or the sink."""
         assert self.complete_response is not None
--- a/service_proxy/net/upstream/endpoint_pool.py
+++ b/service_proxy/net/upstream/endpoint_pool.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import time
 from typing import Protocol
 
 from service_proxy.net.endpoint_list import Address
-from service_proxy.net.upstream.connection import ConnectionCluster, UpstreamConnection
+from service_proxy.net.upstream.connection import UpstreamConnection
+from service_proxy.net.upstream.pool_protocols import ConnectionCluster
 from service_proxy.policy.events import EndpointState
 
+log = logging.getLogger(__name__)
+
 # Pause between a response and the next use of its connection. A second copy of the response can follow some
 # milliseconds later (operators' page STANDING); after the next request it would be read as its response.
 REUSE_DELAY_S = 0.02
+# Time after an unrequested response for which each connection to its endpoint carries one request. Something
+# in the path then duplicates responses, and a copy may come later than REUSE_DELAY_S.
+SINGLE_USE_S = 300.0
 
 
 class PoolCluster(ConnectionCluster, Protocol):
@@ -30,9 +37,19 @@
         connections: Connections that may be reused, including connections with an attempt.
         idle: Connections without an attempt; the most recently used connection is last.
         last_received_at: Time at which the endpoint last sent any data (monotonic, s).
+        single_use_until: Time until which no connection carries a second request (monotonic, s).
     """
 
-    __slots__ = ("address", "cluster", "connections", "idle", "last_received_at", "started_at", "state")
+    __slots__ = (
+        "address",
+        "cluster",
+        "connections",
+        "idle",
+        "last_received_at",
+        "single_use_until",
+        "started_at",
+        "state",
+    )
 
     def __init__(
         self, cluster: PoolCluster, address: Address, started_at: float, state: EndpointState
@@ -43,6 +60,7 @@
         self.state = state
         self.connections: set[UpstreamConnection] = set()
         self.last_received_at = 0.0
+        self.single_use_until = 0.0
         self.idle: list[UpstreamConnection] = []
 
     @property
@@ -74,13 +92,22 @@
 
     def release(self, connection: UpstreamConnection) -> None:
         """Add a connection to the idle connections, or close it if the connection must not be reused."""
-        if connection not in self.connections or not self.is_serving:
+        now = time.monotonic()
+        if connection not in self.connections or not self.is_serving or now < self.single_use_until:
             connection.abort()
             return
-        connection.idle_since = time.monotonic()
+        connection.idle_since = now
         self.idle.append(connection)
         self.cluster.idle_connections[connection] = None
 
+    def on_unrequested_response(self) -> None:
+        """Use each connection for one request from now on, because responses are being duplicated."""
+        now = time.monotonic()
+        if now >= self.single_use_until:
+            log.warning("responses_duplicated endpoint=%s:%d single_use_s=%.0f", *self.address, SINGLE_USE_S)
+        self.single_use_until = now + SINGLE_USE_S
+        self.close_idle()
+
     def remove_idle(self, connection: UpstreamConnection) -> None:
         """Remove a connection that cannot be reused from the idle connections."""
         if connection in self.idle:
--- a/service_proxy/net/upstream/response_framing.py
+++ b/service_proxy/net/upstream/response_framing.py
@@ -7,6 +7,7 @@
 from service_proxy.net.http_status import BODILESS
 from service_proxy.net.limits import MAX_LENGTH_DIGITS, MAX_MESSAGE_BYTES
 
+STATUS_LINE_BYTES = 12  # Bytes of a response up to its status code.
 MAX_HEAD_BYTES = 32 * 1024  # Bound on the headers of a response, including all preceding 1xx responses.
 
 
@@ -14,6 +15,14 @@
     """Response that violates HTTP/1.1 or a size limit; the request may still have been executed."""
 
 
+def is_unrequested_response(first_bytes: bytes) -> bool:
+    """Return whether bytes on an idle connection begin a response that answers no request.
+
+    A 408 is none: a server may send it before it closes an idle connection (RFC 9110, 15.5.9).
+    """
+    return first_bytes.startswith(b"HTTP/1.") and not first_bytes.endswith(b" 408")
+
+
 def response_framing(status_code: int, headers: list[tuple[bytes, bytes]]) -> tuple[int | None, bool]:
     """Return the body length if the head states one, and whether the body ends with the connection.
 
--- a/tests/net/test_upstream_responses.py
+++ b/tests/net/test_upstream_responses.py
@@ -28,6 +28,7 @@
 from service_proxy.net.endpoint_list import Endpoint, EndpointList
 from service_proxy.net.load_report import parse_load_report
 from service_proxy.net.upstream.endpoint_pool import REUSE_DELAY_S
+from service_proxy.net.upstream.response_framing import is_unrequested_response
 from service_proxy.policy.events import EndpointEntry, EndpointState
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -120,6 +121,45 @@
     run_async(test())
 
 
+@pytest.mark.parametrize("copy_delay", [0.05, 0.2])
+def test_no_late_copy_is_delivered_after_the_first_sign_of_duplicated_responses(copy_delay: float) -> None:
+    """Guards against foreign responses for as long as something in the path duplicates them with a delay."""
+
+    async def respond(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        reply = response(200, received.headers["x-call-id"].encode())
+        await asyncio.sleep(2 * copy_delay)  # A copy comes while the next request of its connection waits.
+        writer.write(reply)
+        asyncio.get_running_loop().call_later(copy_delay, writer.write, reply)
+
+    async def test() -> None:
+        async with proxy_under_test({"s-1": EndpointServer(respond)}, **long_timeout_settings()) as proxy:
+            client = await proxy.connect()
+
+            async def foreign_responses(letter: str, pause: float) -> int:
+                """Send requests at this interval, and return how many had the response to another one."""
+                foreign = 0
+                for number in range(5):
+                    id = f"{letter}{number:015x}"
+                    reply = await client.request("canje", id, LONG_TIME_BUDGET)
+                    foreign += reply.status_code == 200 and reply.body != id.encode()
+                    await asyncio.sleep(pause)
+                return foreign
+
+            # A copy that comes while the connection rests is the sign.
+            assert await foreign_responses("a", copy_delay + 0.1) == 0
+            assert await foreign_responses("b", 0.0) == 0
+
+    run_async(test())
+
+
+def test_a_server_that_ends_idle_connections_with_408_is_no_sign_of_duplicated_responses() -> None:
+    """Guards against a new connection for each request to servers that announce the end of idle ones."""
+    assert is_unrequested_response(b"HTTP/1.1 200")
+    assert is_unrequested_response(b"HTTP/1.0 503")
+    assert not is_unrequested_response(b"HTTP/1.1 408")
+    assert not is_unrequested_response(b"garbage")
+
+
 @pytest.mark.parametrize("spoilt", INVALID_RESPONSES.values(), ids=INVALID_RESPONSES)
 def test_an_invalid_response_ends_its_attempt_at_once(spoilt: bytes) -> None:
     async def respond(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
