The body of an answered request is dropped while the rest of it arrives

Cause: the rest of a body that is answered early is discarded, and for as long as it arrives the connection refers to the request (early_request), whose share of the body pool was released with the answer.

Evidence: sums every 50 ms in the process; at 98 MB the pool counted 0 to 8.9 MB, all buffers of bodies 68 MB, and each of these was referred to by its request and that by its connection alone.

Change: the body of such a request is dropped with the answer.

Test: test_the_body_of_an_answered_request_is_freed_while_its_client_stays, 4 cases, failed before. A first form that dropped every body failed the test of pipelined requests, which looks at bodies after their responses.

--- a/service_proxy/net/downstream/connection.py
+++ b/service_proxy/net/downstream/connection.py
@@ -342,6 +342,8 @@
             return
         self._release_pool(request.body)
         request.body.remove_callbacks()
+        if request is self.early_request:  # The connection refers to it until its next request begins.
+            request.body.drop()
         if self.body is request.body:
             self.body = RequestBody()
         if self.server.request_counter is not None:
--- a/tests/net/test_memory_limits.py
+++ b/tests/net/test_memory_limits.py
@@ -304,6 +304,31 @@
     run_async(test())
 
 
+@pytest.mark.parametrize("status_code", [200, 503])
+@pytest.mark.parametrize("size", [1_000_000, MAX_POOLED_BODY_BYTES + 300_000], ids=["no pool", "over pool"])
+def test_the_body_of_an_answered_request_is_freed_while_its_client_stays(status_code: int, size: int) -> None:
+    """Guards against bodies that stay in memory, and are not in the pool, until their clients close."""
+
+    async def test() -> None:
+        server = http_server()
+        if size < MAX_POOLED_BODY_BYTES:
+            server.pool_bytes = size // 2  # The body is streamed once the pool has no more room.
+        client = FedConnection(server)
+        await client.feed(post_head("a" * 16, size + 1) + bytes(size))
+        request = client.connection.current_request
+        assert request is not None and request.body.content.size > 0
+        client.connection.respond(status_code, (), b"")
+        await client.feed(b"x")
+        assert client.transport.written.startswith(b"HTTP/1.1 %d" % status_code)
+        assert (server.pooled_bytes, request.body.content.size, client.connection.body.content.size) == (
+            0,
+            0,
+            0,
+        )
+
+    run_async(test())
+
+
 def test_bodies_that_share_a_connection_have_shares_of_the_pool_of_their_own() -> None:
     """Guards against a pool that counts only one of two bodies, or is released while one is in use.
 
