An error in a read turn takes no other connection its turn

The second turn is now a callback of its own. A WebSocket connection that was paused while it waited processes no frame in its turn.

--- a/service_proxy/net/downstream/read_turns.py
+++ b/service_proxy/net/downstream/read_turns.py
@@ -41,5 +41,7 @@
         connections = [queue.popleft() for queue in (self._arriving, self._backlogs) if queue]
         if self._arriving or self._backlogs:
             self._loop.call_soon(self._start_turns)
-        for connection in connections:
-            connection.on_read_turn()
+        # An error in one turn must not take away the other connection's turn.
+        for connection in connections[1:]:
+            self._loop.call_soon(connection.on_read_turn)
+        connections[0].on_read_turn()
--- a/service_proxy/websocket/connection.py
+++ b/service_proxy/websocket/connection.py
@@ -200,7 +200,7 @@
     def _process_frames(self, max_messages: int) -> bool:
         """Process received frames; return whether a limit was reached and more frames wait for a turn."""
         frames = messages = 0
-        while self.state is not ClosingState.CLOSED and (event := self.codec.next_event()) is not None:
+        while self._can_process and (event := self.codec.next_event()) is not None:
             frames += 1
             if isinstance(event, MessageFragment):
                 # After this side's close frame, only the peer's close frame matters.
@@ -211,13 +211,16 @@
             else:
                 self._transition(ClosingEvent.CLOSE_RECEIVED, event.code, event.reason)
                 break
-            if self.is_paused:
-                break
             messages += isinstance(event, MessageFragment) and event.is_last
             if frames == MAX_FRAMES_PER_TURN or messages == max_messages:
-                return self.codec.has_event()
+                return self._can_process and self.codec.has_event()
         return False
 
+    @property
+    def _can_process(self) -> bool:
+        """Return whether frames may be processed now."""
+        return not self.is_paused and self.state is not ClosingState.CLOSED
+
     def _on_control_frame(self, event: PingFrame | PongFrame) -> None:
         if not self.control_bucket.take(self.received_at, CONTROL_FRAMES_PER_S, CONTROL_FRAME_BURST):
             raise ProtocolViolationError(POLICY_VIOLATION, "too many pings")
--- a/tests/net/test_read_turns.py
+++ b/tests/net/test_read_turns.py
@@ -11,6 +11,7 @@
 from net_harness import TEST_TIMEOUT_S, get_request
 
 from service_proxy.net.downstream.http_server import READ_BUFFER_BYTES, HttpServer
+from service_proxy.net.downstream.read_turns import ReadTurns
 from service_proxy.net.downstream.request import Request, ResponseWriter
 from service_proxy.net.limits import MAX_MESSAGE_BYTES
 from service_proxy.policy.settings_types import Idempotency
@@ -62,6 +63,39 @@
         await handler.request_started.wait()
 
 
+class Taker:
+    """Connection that counts its turns, and may fail in each."""
+
+    def __init__(self, fails: bool) -> None:
+        self.fails = fails
+        self.turns = 0
+
+    def on_read_turn(self) -> None:
+        self.turns += 1
+        if self.fails:
+            raise RuntimeError("turn failed")
+
+
+def test_an_error_in_a_turn_takes_no_other_connection_its_turn() -> None:
+    """Guards against a connection that waits for ever, because another one failed in the same iteration."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        errors: list[BaseException] = []
+        loop.set_exception_handler(lambda _, context: errors.append(context["exception"]))
+        turns = ReadTurns(loop)
+        takers = [Taker(fails=number % 2 == 0) for number in range(4)]
+        for number, taker in enumerate(takers):
+            turns.wait(taker, is_backlog=number % 2 == 1)
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while sum(taker.turns for taker in takers) < len(takers):
+                await asyncio.sleep(0)
+        assert [taker.turns for taker in takers] == [1, 1, 1, 1]
+        assert len(errors) == 2
+
+    asyncio.Runner(loop_factory=uvloop.new_event_loop).run(test())
+
+
 def test_requests_are_read_between_the_reads_of_clients_that_send_at_full_speed() -> None:
     """Guards against requests without an answer in time, while the proxy parses megabytes of tiny chunks.
 
